--- /dev/null
+++ b/crates/benchlink/src/main.rs
@@ -0,0 +1,208 @@
+//! Runs doorgrade's decisions on the bench's line wire: standard input to calls, answers to standard output.
+
+mod boot;
+mod line;
+mod writer;
+
+use std::io::{self, BufRead, Write};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use doorgrade::{Access, Ended, Front, Member, Standing, Tenths};
+use rustc_hash::FxHashMap;
+
+use line::{Bad, Line};
+use writer::Writer;
+
+type Census = Arc<[Member]>;
+
+struct Link {
+    fronts: FxHashMap<Box<str>, Front>,
+    censuses: FxHashMap<u64, Census>,
+    writer: Writer,
+    values: Vec<f64>,
+}
+
+fn main() -> ExitCode {
+    let mut link = Link {
+        fronts: FxHashMap::default(),
+        censuses: FxHashMap::default(),
+        writer: Writer::default(),
+        values: Vec::new(),
+    };
+    let mut input = io::BufReader::with_capacity(1 << 16, io::stdin().lock());
+    let mut number = 0;
+    match serve(&mut link, &mut input, &mut number) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(bad) => {
+            eprintln!("doorgrade-benchlink: line {number}: {bad}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Reads one line into `buffer` without its end; false at the end of input.
+fn next_line(input: &mut impl BufRead, buffer: &mut String, number: &mut u64) -> Result<bool, Bad> {
+    buffer.clear();
+    *number += 1;
+    let read = input.read_line(buffer).map_err(|e| Bad(format!("unreadable input: {e}")))?;
+    if read > 0 && !buffer.ends_with('\n') {
+        return Err(Bad("input ends within a line".into()));
+    }
+    buffer.truncate(buffer.trim_end_matches(['\n', '\r']).len());
+    Ok(read > 0)
+}
+
+fn serve(link: &mut Link, input: &mut impl BufRead, number: &mut u64) -> Result<(), Bad> {
+    let mut text = String::new();
+    let mut out = io::stdout().lock();
+    loop {
+        if !next_line(input, &mut text, number)? {
+            return Ok(());
+        }
+        if text.is_empty() {
+            continue;
+        }
+        let line = Line::new(&text);
+        if line.tag() != "round" {
+            return Err(Bad(format!("expected 'round', found '{}'", line.tag())));
+        }
+        let now = line.time_down("clock")?;
+        loop {
+            if !next_line(input, &mut text, number)? {
+                return Err(Bad("input ends within a round, 'eob' is missing".into()));
+            }
+            if text == "eob" {
+                break;
+            }
+            if text.is_empty() {
+                continue;
+            }
+            let line = Line::new(&text);
+            if line.tag() == "census" {
+                let sheet = line.whole("sheet")?;
+                let count = line.whole("nodesList")?;
+                let mut members = Vec::new();
+                for _ in 0..count {
+                    if !next_line(input, &mut text, number)? {
+                        return Err(Bad("input ends within a census".into()));
+                    }
+                    members.push(member(&Line::new(&text))?);
+                }
+                link.censuses.insert(sheet, members.into());
+            } else {
+                event(link, &line, now)?;
+            }
+        }
+        link.writer.end_reply();
+        out.write_all(link.writer.bytes())
+            .and_then(|()| out.flush())
+            .map_err(|e| Bad(format!("cannot write: {e}")))?;
+        link.writer.clear();
+    }
+}
+
+fn member(line: &Line<'_>) -> Result<Member, Bad> {
+    if line.tag() != "row" {
+        return Err(Bad(format!("expected 'row', found '{}'", line.tag())));
+    }
+    Ok(Member {
+        id: line.text("cache")?.into(),
+        zone: line.whole_or("rackZone", 0)? as usize,
+        kind: line.whole_or("type", 0)? as usize,
+        cell: line.whole_or("cluster", 0)?,
+        standing: match line.text("availability")? {
+            "healthy" => Standing::Listed,
+            "cordoned" => Standing::Draining,
+            "deregistered" => Standing::Gone,
+            other => return Err(Bad(format!("field 'availability': unknown value '{other}'"))),
+        },
+        weight: line.number_or("units", 1.0)?,
+        started: match line.get("startedAt") {
+            Some(_) => Some(line.time_up("startedAt")?).filter(|&t| t > 0),
+            None => None,
+        },
+    })
+}
+
+fn event(link: &mut Link, line: &Line<'_>, now: Tenths) -> Result<(), Bad> {
+    let tag = line.tag();
+    let who = line.text("i")?;
+    if tag == "power_on" {
+        let settings = boot::settings(line.rest("bootInfo")?)?;
+        link.fronts.insert(who.into(), Front::new(&settings, line.whole("prng")?));
+        return Ok(());
+    }
+    let front = link
+        .fronts
+        .get_mut(who)
+        .ok_or_else(|| Bad(format!("field 'i': '{who}' does not run ('{tag}' before 'power_on')")))?;
+    let out = &mut link.writer;
+    out.speak_for(who);
+    match tag {
+        "req" => {
+            let access = Access {
+                id: line.whole("requestId")?,
+                offering: line.whole_or("band", 0)? as usize,
+                object: line.whole_or("asset", 0)?,
+                part: line.whole_or("segment", 0)? as u32,
+                group: line.whole_or("tag", 0)?,
+                kb: line.number_or("kb", 0.0)?,
+                until: line.time_down("notAfter")?,
+                repeat: line.flag("isRetry")?,
+            };
+            if !front.knows_offering(access.offering) {
+                return Err(Bad(format!("field 'band': no class {}", access.offering)));
+            }
+            front.access(now, &access, out);
+        }
+        "ended" => {
+            line.list("pressure", &mut link.values)?;
+            let ended = Ended {
+                push: line.whole_or("sendNo", 0)? as usize,
+                outcome: boot::outcome(line.text("rc")?)?,
+                settled: line.flag("settled")?,
+                lag: line.time_down("lag")?,
+                note: boot::note(line.whole_or("info", 0)?)?,
+                report: &link.values,
+            };
+            front.ended(now, line.whole("requestId")?, line.text("cache")?, &ended, out);
+        }
+        "due" => front.due(now, line.whole("keyBack")?, out),
+        "hangup" => front.left(line.whole("requestId")?),
+        "accepted" => {
+            let push = line.whole_or("sendNo", 0)? as usize;
+            front.begun(now, line.whole("requestId")?, line.text("cache")?, push);
+        }
+        "expired_now" => {
+            let object = line.get("asset").map(|_| line.whole("asset")).transpose()?;
+            front.purged(now, object, line.whole_or("setNo", 0)?, line.time_down("age")?);
+        }
+        "peers_known" => {
+            let full = match line.text("form")? {
+                "changes" => false,
+                "all" | "remembered" => true,
+                "refused" => {
+                    front.list_refused(now, out);
+                    return Ok(());
+                }
+                other => return Err(Bad(format!("field 'form': unknown value '{other}'"))),
+            };
+            let sheet = line.whole("sheet")?;
+            let census =
+                link.censuses.get(&sheet).ok_or_else(|| Bad(format!("field 'sheet': no census {sheet}")))?;
+            front.listed(now, census, full, out);
+        }
+        "health" => {
+            line.list("pressure", &mut link.values)?;
+            let outcome = boot::outcome(line.text("rc")?)?;
+            front.probed(now, line.text("cache")?, outcome, &link.values);
+        }
+        "note_from" => {}
+        "detach" => {
+            link.fronts.remove(who);
+        }
+        other => return Err(Bad(format!("unknown message '{other}'"))),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/face.rs
@@ -0,0 +1,199 @@
+//! The types that pass between a link (bench adapter, real front) and the decisions in `control`.
+//! Times are whole tenths of a millisecond.
+
+pub type Tenths = u64;
+pub type AccessId = u64;
+
+/// What a repeat of an access of an offering may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated { within: Group, window: Tenths },
+    Unrepeatable,
+}
+
+/// The caches that recognise a repeat between them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Listed,
+    Draining,
+    Gone,
+}
+
+/// Which caches may supply a fill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Siblings {
+    Never,
+    OwnZone,
+    Any,
+}
+
+/// What answers tell about how they came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notes {
+    All,
+    Hits,
+    Never,
+}
+
+#[derive(Clone, Debug)]
+pub struct Offering {
+    pub soft: Tenths,
+    /// The soft limit grows by this multiple of the access's own sending time.
+    pub stretch: f64,
+    pub hard: Tenths,
+    pub benefit: f64,
+    pub late_share: f64,
+    pub effect: Effect,
+    /// 0: a copy is good until it is purged.
+    pub fresh: Tenths,
+    /// Runs at the origin and leaves no copy.
+    pub uncacheable: bool,
+}
+
+/// What a front is told once, at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub offerings: Vec<Offering>,
+    pub zone: usize,
+    /// Fronts that serve this front's zone, itself included.
+    pub crew: u32,
+    pub fleet: u32,
+    pub parent_kind: Option<usize>,
+    pub origin_kind: Option<usize>,
+    pub siblings: Siblings,
+    pub notes: Notes,
+    pub joins: bool,
+    pub straight: bool,
+    pub probes: bool,
+    pub cancels: bool,
+    pub second_copies: bool,
+    /// Longest advice to stay away that is passed on; 0 where none is.
+    pub advice: Tenths,
+    pub max_pushes: usize,
+    /// Members' weights can be compared with one another.
+    pub weights: bool,
+    /// The list of members is sent only after it was asked for.
+    pub list_on_request: bool,
+    /// Shortest time between two inputs.
+    pub quantum: Tenths,
+    pub flow_kb_per_s: f64,
+    pub cold: Cold,
+    pub parent_cold: Cold,
+    pub purge_done: Tenths,
+    /// Places of the values in a load report, where they are reported.
+    pub report_held: Option<usize>,
+    pub report_busy: Option<usize>,
+}
+
+/// What a member that has just started can do, and when more than that makes it fall.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    pub from: f64,
+    pub lasts: Tenths,
+    pub multiple: f64,
+    pub window: Tenths,
+}
+
+/// One line of a list of caches, parents and origin.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub id: Box<str>,
+    pub zone: usize,
+    pub kind: usize,
+    pub cell: u64,
+    pub standing: Standing,
+    pub weight: f64,
+    pub started: Option<Tenths>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Access {
+    pub id: AccessId,
+    pub offering: usize,
+    pub object: u64,
+    pub part: u32,
+    pub group: u64,
+    /// 0 where it is not told.
+    pub kb: f64,
+    pub until: Tenths,
+    pub repeat: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Handled,
+    Error,
+    Full,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Withdrawn,
+    NeverSent,
+    Miss,
+}
+
+impl Outcome {
+    /// The push is known not to have run.
+    pub fn proves_unrun(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent | Outcome::Miss)
+    }
+}
+
+/// What an answer says about how it came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    Untold,
+    Hit,
+    Filled,
+    FilledByOrigin,
+    Joined,
+    Stale,
+    SourceRefused,
+    SourceLost,
+    SourceLacks,
+    NoFillPlace,
+    OriginFailed,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Ended<'a> {
+    pub push: usize,
+    pub outcome: Outcome,
+    pub settled: bool,
+    pub lag: Tenths,
+    pub note: Note,
+    pub report: &'a [f64],
+}
+
+/// One push of an access, as it goes out.
+#[derive(Clone, Copy, Debug)]
+pub struct Push<'a> {
+    pub access: AccessId,
+    pub cache: &'a str,
+    pub source: &'a str,
+    pub wait: Tenths,
+    /// Oldest copy that will do; 0 leaves it to the offering's fresh time.
+    pub age: Tenths,
+    pub rank: u8,
+    pub join: bool,
+    pub renew: bool,
+}
+
+/// Where the decisions go.
+pub trait Outlet {
+    fn push(&mut self, push: &Push<'_>);
+    fn withdraw(&mut self, access: AccessId, push: usize);
+    fn decline(&mut self, access: AccessId, stay_away: Tenths);
+    fn give_up(&mut self, access: AccessId);
+    fn wake(&mut self, at: Tenths, key: u64);
+    fn follow_list(&mut self);
+    fn log(&mut self, text: std::fmt::Arguments<'_>);
+}
