--- a/src/control.rs
+++ b/src/control.rs
@@ -50,6 +50,7 @@
     access: Access,
     work: f64,
     soft_at: Tenths,
+    density: f64,
     sent: ArrayVec<Sent, MOST_PUSHES>,
     done: bool,
     may_have_run: Option<(usize, Tenths)>,
@@ -64,6 +65,7 @@
 struct Class {
     soft: f64,
     stretch: f64,
+    benefit: f64,
     effect: Effect,
     fresh: Tenths,
     uncacheable: bool,
@@ -96,6 +98,10 @@
     out: u32,
     out_work: f64,
     answered: Tenths,
+    /// Pushes that grew overdue since the last answer.
+    hush: u32,
+    /// How many of this front's pushes it may hold at once.
+    limit: f64,
     late: f64,
     rate: Decaying,
     spent: Decaying,
@@ -161,6 +167,8 @@
     late_all: f64,
     usual: [f64; 2],
     spare_pushes: f64,
+    density: f64,
+    start_limit: f64,
 }
 
 fn mix(a: u64, b: u64) -> u64 {
@@ -181,6 +189,7 @@
         let classes = s.offerings.iter().map(|o| Class {
             soft: o.soft as f64,
             stretch: o.stretch,
+            benefit: o.benefit,
             effect: o.effect,
             fresh: o.fresh,
             uncacheable: o.uncacheable,
@@ -223,6 +232,8 @@
             late_all: 0.0,
             usual: [0.0; 2],
             spare_pushes: 10.0,
+            density: 0.0,
+            start_limit: START_LIMIT / f64::from(s.crew),
         }
     }
 
@@ -267,6 +278,8 @@
                     out: 0,
                     out_work: 0.0,
                     answered: 0,
+                    hush: 0,
+                    limit: self.start_limit,
                     late: 0.0,
                     rate: Decaying::default(),
                     spent: Decaying::default(),
@@ -304,10 +317,20 @@
         }
         let work = if a.kb > 0.0 && self.flow > 0.0 { a.kb / self.flow } else { class.mean };
         let soft_at = now + (class.soft + class.stretch * work) as Tenths;
+        let density = class.benefit / work.max(1.0);
+        self.density += (density - self.density) * if self.density == 0.0 { 1.0 } else { 1.0 / 64.0 };
         // Further pushes are paid from a fund that grows with the accesses, so that a shared trouble can't
         // multiply the load: a fifth of an access for each, saved up for twenty at most.
         self.spare_pushes = (self.spare_pushes + 0.2).min(20.0);
-        let held = Held { access: *a, work, soft_at, sent: ArrayVec::new(), done: false, may_have_run: None };
+        let held = Held {
+            access: *a,
+            work,
+            soft_at,
+            density,
+            sent: ArrayVec::new(),
+            done: false,
+            may_have_run: None,
+        };
         let place = self.held.insert(held);
         self.places.insert(a.id, place);
         self.route(now, place, out);
@@ -390,6 +413,12 @@
                 continue;
             }
             let p = &self.peers[c];
+            // Overload: what can't be answered in time is turned down before it takes up what could be, lowest
+            // benefit for its work first.
+            let keen = (0.6 + 0.4 * self.held[place].density / self.density).min(1.25);
+            if f64::from(p.out) >= p.limit * keen {
+                continue;
+            }
             // Hashing with bounded loads: a cache whose unanswered work is well over its share of all is passed
             // over. Covers slow and silent caches, hot objects and uneven hashing; costs second copies.
             let share = all * p.weight / f64::max(weights, p.weight);
@@ -580,7 +609,7 @@
         let (id, at, cache, source) =
             (h.access.id, h.sent[number].at, h.sent[number].cache, h.sent[number].source);
         let checks = h.sent[number].checks;
-        h.sent[number].checks += 1;
+        h.sent[number].checks = 1;
         let idempotent = self.classes[h.access.offering].effect == Effect::Idempotent;
         let silent = self.peers[cache].answered < at;
         if checks == 0 {
@@ -590,7 +619,16 @@
             }
         }
         if silent {
-            self.blame(now, cache, 0.4, out);
+            self.peers[cache].hush += 1;
+            // Three in a row: one slow answer at a cache that has little to do is no silence.
+            if self.peers[cache].hush >= 3 {
+                self.blame(now, cache, 0.4, out);
+            }
+        }
+        let silent = silent && self.peers[cache].hush >= 3;
+        if now >= self.held[place].soft_at && !silent {
+            let p = &mut self.peers[cache];
+            p.limit = (p.limit * LIMIT_DOWN).max(LEAST_LIMIT);
         }
         let source_late = !silent && source != cache && self.peers[source].late > 2.0 * self.late_all + 0.15;
         if source_late {
@@ -607,8 +645,8 @@
             if self.second_copies {
                 return self.route(now, place, out);
             }
-        } else if checks < 3 {
-            let again = now + (now - at).max(1) / 2 + 1;
+        } else if now < self.held[place].soft_at {
+            let again = self.held[place].soft_at.min(now + (now - at).max(20));
             out.wake(again, id << 4 | number as u64);
         }
     }
@@ -733,8 +771,14 @@
                     fill.at = now;
                 }
                 self.praise(now, cache);
-                if source != cache && (filled || self.notes != Notes::All) {
-                    self.praise(now, source);
+                let p = &mut self.peers[cache];
+                if now <= self.held[place].soft_at && f64::from(p.out) >= 0.5 * p.limit {
+                    p.limit += LIMIT_UP;
+                }
+                if source != cache {
+                    if filled || self.notes != Notes::All {
+                        self.praise(now, source);
+                    }
                     self.peers[source].late *= 1.0 - 1.0 / 16.0;
                 }
                 self.late_all *= 1.0 - 1.0 / 64.0;
@@ -750,6 +794,7 @@
             }
             Outcome::Error | Outcome::Full | Outcome::Miss => {
                 self.peers[cache].answered = now;
+                self.peers[cache].hush = 0;
                 match e.note {
                     Note::SourceRefused | Note::SourceLost | Note::OriginFailed => {
                         self.held[place].sent[e.push].source_failed = true;
@@ -757,7 +802,10 @@
                     }
                     Note::SourceLacks | Note::NoFillPlace => {}
                     _ if e.outcome == Outcome::Error => self.blame(now, cache, 0.25, out),
-                    _ if e.outcome == Outcome::Full => self.blame(now, cache, 0.1, out),
+                    _ if e.outcome == Outcome::Full => {
+                        let p = &mut self.peers[cache];
+                        p.limit = (f64::from(p.out) * 0.9).clamp(LEAST_LIMIT, p.limit);
+                    }
                     _ => {}
                 }
             }
@@ -787,6 +835,7 @@
     fn praise(&mut self, now: Tenths, c: usize) {
         let p = &mut self.peers[c];
         p.answered = now;
+        p.hush = 0;
         p.ill *= 0.8;
         if p.on_trial && p.held_until <= now {
             if p.lost {
@@ -844,3 +893,8 @@
 /// recovers is found within a few seconds.
 const FIRST_HOLD: Tenths = 5_000;
 const LONGEST_HOLD: Tenths = 40_000;
+
+const START_LIMIT: f64 = 20.0;
+const LEAST_LIMIT: f64 = 2.0;
+const LIMIT_UP: f64 = 0.1;
+const LIMIT_DOWN: f64 = 0.96;
