--- a/src/control.rs
+++ b/src/control.rs
@@ -40,7 +40,7 @@
     at: Tenths,
     work: f64,
     out: bool,
-    checks: u8,
+    overdue: bool,
     /// It went wrong behind the cache, which may be asked again with another source.
     source_failed: bool,
     next: Next,
@@ -90,10 +90,12 @@
     weight: f64,
     standing: Standing,
     started: Option<Tenths>,
-    ill: f64,
+    /// Share of the pushes naming it that went wrong or grew overdue, lately.
+    bad: f64,
     held_until: Tenths,
     held_for: Tenths,
-    on_trial: bool,
+    /// Good answers it still owes after it was left alone.
+    trial: u32,
     lost: bool,
     out: u32,
     out_work: f64,
@@ -102,7 +104,6 @@
     hush: u32,
     /// How many of this front's pushes it may hold at once.
     limit: f64,
-    late: f64,
     rate: Decaying,
     spent: Decaying,
 }
@@ -164,7 +165,6 @@
     purged_objects: FxHashMap<u64, Tenths>,
     purged_groups: FxHashMap<u64, Tenths>,
     purge_order: VecDeque<(Tenths, u64)>,
-    late_all: f64,
     usual: [f64; 2],
     spare_pushes: f64,
     density: f64,
@@ -229,7 +229,6 @@
             purged_objects: FxHashMap::default(),
             purged_groups: FxHashMap::default(),
             purge_order: VecDeque::new(),
-            late_all: 0.0,
             usual: [0.0; 2],
             spare_pushes: 10.0,
             density: 0.0,
@@ -270,17 +269,16 @@
                     weight: 1.0,
                     standing: m.standing,
                     started: m.started,
-                    ill: 0.0,
+                    bad: 0.0,
                     held_until: 0,
                     held_for: FIRST_HOLD,
-                    on_trial: false,
+                    trial: 0,
                     lost: false,
                     out: 0,
                     out_work: 0.0,
                     answered: 0,
                     hush: 0,
                     limit: self.start_limit,
-                    late: 0.0,
                     rate: Decaying::default(),
                     spent: Decaying::default(),
                 });
@@ -291,7 +289,8 @@
             p.weight = if self.weights && m.weight > 0.0 { m.weight } else { 1.0 };
             if m.started > p.started {
                 // It runs again: what was held against it was about the process before.
-                (p.started, p.ill, p.held_until, p.on_trial, p.lost) = (m.started, 0.0, now, false, false);
+                (p.started, p.bad, p.held_until, p.trial, p.lost) = (m.started, 0.0, now, 0, false);
+                p.limit = self.start_limit;
                 p.spent = Decaying::default();
             }
         }
@@ -359,13 +358,15 @@
         if self.straight {
             return self.may_repeat_at(now, place, origin).then_some((origin, origin));
         }
-        self.pick_cache(now, place).map(|cache| (cache, origin))
+        self.pick_cache(now, place).ok().map(|cache| (cache, origin))
     }
 
     fn pick_for_read(&mut self, now: Tenths, place: usize) -> Option<(usize, usize)> {
         let source = self.pick_source(now, place);
-        if let Some(cache) = self.pick_cache(now, place) {
-            return Some((cache, source.unwrap_or(cache)));
+        match self.pick_cache(now, place) {
+            Ok(cache) => return Some((cache, source.unwrap_or(cache))),
+            Err(crowded) if crowded => return None,
+            Err(_) => {}
         }
         // No cache of the zone can take it: straight to the source, where that is allowed.
         let source = source.filter(|_| self.straight)?;
@@ -395,13 +396,14 @@
     }
 
     /// The first cache in the object's order that is well, has room, and if cold stays within its budget.
-    fn pick_cache(&mut self, now: Tenths, place: usize) -> Option<usize> {
+    fn pick_cache(&mut self, now: Tenths, place: usize) -> Result<usize, bool> {
+        let mut crowded = false;
         let object = self.held[place].access.object;
         let mean = self.classes[self.held[place].access.offering].mean;
         let (mut all, mut weights) = (mean, 0.0);
         for &c in &self.caches {
             let p = &self.peers[c];
-            if p.held_until <= now && !p.on_trial {
+            if p.held_until <= now && p.trial == 0 {
                 all += p.out_work;
                 weights += p.weight;
             }
@@ -417,6 +419,7 @@
             // benefit for its work first.
             let keen = (0.6 + 0.4 * self.held[place].density / self.density).min(1.25);
             if f64::from(p.out) >= p.limit * keen {
+                crowded |= self.well(now, c);
                 continue;
             }
             // Hashing with bounded loads: a cache whose unanswered work is well over its share of all is passed
@@ -434,7 +437,7 @@
                 best = Some(this);
             }
         }
-        best.map(|b| b.2)
+        best.map(|b| b.2).ok_or(crowded)
     }
 
     /// The object's first parent in one hash over all listed parents, the same at every front; past it only where
@@ -492,7 +495,7 @@
             at: now,
             work: mean,
             out: true,
-            checks: 0,
+            overdue: false,
             source_failed: false,
             next,
         });
@@ -606,46 +609,36 @@
     /// others came back from it meanwhile, the way to the source may be at fault.
     fn read_overdue(&mut self, now: Tenths, place: usize, number: usize, out: &mut dyn Outlet) {
         let h = &mut self.held[place];
-        let (id, at, cache, source) =
-            (h.access.id, h.sent[number].at, h.sent[number].cache, h.sent[number].source);
-        let checks = h.sent[number].checks;
-        h.sent[number].checks = 1;
+        let id = h.access.id;
+        let Sent { cache, source, at, .. } = h.sent[number];
+        let first = !std::mem::replace(&mut h.sent[number].overdue, true);
         let idempotent = self.classes[h.access.offering].effect == Effect::Idempotent;
-        let silent = self.peers[cache].answered < at;
-        if checks == 0 {
-            self.late_all += (1.0 - self.late_all) / 64.0;
+        if first {
+            self.peers[cache].hush += u32::from(self.peers[cache].answered < at);
+            // Three in a row with nothing back, while others answer: silence, and a sharper sign than lateness.
+            let others = self.caches.iter().any(|&c| c != cache && self.peers[c].answered > at);
+            let silent = self.peers[cache].hush >= 3 && others;
+            self.count(now, cache, if silent { 0.5 } else { BAD_GAIN }, out);
             if source != cache {
-                self.peers[source].late += (1.0 - self.peers[source].late) / 16.0;
+                self.count(now, source, BAD_GAIN, out);
             }
         }
-        if silent {
-            self.peers[cache].hush += 1;
-            // Three in a row: one slow answer at a cache that has little to do is no silence.
-            if self.peers[cache].hush >= 3 {
-                self.blame(now, cache, 0.4, out);
-            }
-        }
-        let silent = silent && self.peers[cache].hush >= 3;
-        if now >= self.held[place].soft_at && !silent {
+        if now >= self.held[place].soft_at {
             let p = &mut self.peers[cache];
             p.limit = (p.limit * LIMIT_DOWN).max(LEAST_LIMIT);
         }
-        let source_late = !silent && source != cache && self.peers[source].late > 2.0 * self.late_all + 0.15;
-        if source_late {
-            self.blame(now, source, 0.4, out);
-        }
+        let source_ill = !self.well(now, source);
+        let ill = source_ill || !self.well(now, cache);
         let last = self.held[place].sent.len() == number + 1;
-        let affordable = self.spare_pushes >= 1.0 && (self.cancels || self.second_copies);
-        if (silent || source_late) && last && idempotent && affordable {
+        if ill && last && idempotent && self.spare_pushes >= 1.0 && self.second_copies {
             self.spare_pushes -= 1.0;
-            self.held[place].sent[number].source_failed = source_late;
+            self.held[place].sent[number].source_failed = source_ill;
             if self.cancels {
                 out.withdraw(id, number);
             }
-            if self.second_copies {
-                return self.route(now, place, out);
-            }
-        } else if now < self.held[place].soft_at {
+            return self.route(now, place, out);
+        }
+        if now < self.held[place].soft_at {
             let again = self.held[place].soft_at.min(now + (now - at).max(20));
             out.wake(again, id << 4 | number as u64);
         }
@@ -771,17 +764,13 @@
                     fill.at = now;
                 }
                 self.praise(now, cache);
+                if source != cache && (filled || self.notes != Notes::All) {
+                    self.praise(now, source);
+                }
                 let p = &mut self.peers[cache];
                 if now <= self.held[place].soft_at && f64::from(p.out) >= 0.5 * p.limit {
                     p.limit += LIMIT_UP;
                 }
-                if source != cache {
-                    if filled || self.notes != Notes::All {
-                        self.praise(now, source);
-                    }
-                    self.peers[source].late *= 1.0 - 1.0 / 16.0;
-                }
-                self.late_all *= 1.0 - 1.0 / 64.0;
                 if a.kb == 0.0 || self.flow == 0.0 {
                     let class = &mut self.classes[a.offering];
                     class.mean += (e.lag as f64 - class.mean) / 64.0;
@@ -790,20 +779,24 @@
             Outcome::Withdrawn | Outcome::NeverSent | Outcome::TimedOut => {}
             Outcome::Unreachable | Outcome::Broken => {
                 self.peers[cache].lost = true;
-                self.blame(now, cache, 0.6, out);
+                self.count(now, cache, 0.6, out);
             }
             Outcome::Error | Outcome::Full | Outcome::Miss => {
-                self.peers[cache].answered = now;
-                self.peers[cache].hush = 0;
+                let p = &mut self.peers[cache];
+                (p.answered, p.hush) = (now, 0);
                 match e.note {
-                    Note::SourceRefused | Note::SourceLost | Note::OriginFailed => {
+                    Note::SourceRefused | Note::SourceLost | Note::OriginFailed if source != cache => {
                         self.held[place].sent[e.push].source_failed = true;
-                        self.blame(now, source, 0.25, out)
+                        self.count(now, source, 2.0 * BAD_GAIN, out);
                     }
                     Note::SourceLacks | Note::NoFillPlace => {}
-                    _ if e.outcome == Outcome::Error => self.blame(now, cache, 0.25, out),
+                    _ if e.outcome == Outcome::Error => {
+                        self.count(now, cache, 2.0 * BAD_GAIN, out);
+                        if source != cache {
+                            self.count(now, source, 2.0 * BAD_GAIN, out);
+                        }
+                    }
                     _ if e.outcome == Outcome::Full => {
-                        let p = &mut self.peers[cache];
                         p.limit = (f64::from(p.out) * 0.9).clamp(LEAST_LIMIT, p.limit);
                     }
                     _ => {}
@@ -812,42 +805,59 @@
         }
     }
 
-    /// Fit for ordinary pushes: nothing held against it, or back on trial with no push out to tell yet.
+    /// Fit for ordinary pushes: not left alone, or on trial with no push out to tell yet.
     fn well(&self, now: Tenths, c: usize) -> bool {
         let p = &self.peers[c];
-        p.held_until <= now && (!p.on_trial || p.out == 0)
+        p.held_until <= now && (p.trial == 0 || p.out == 0)
     }
 
-    /// A sign of illness of some weight. Past the mark the member is left alone for a while, longer each time,
-    /// then tried with one push at a time: so a fast failer attracts nothing, and a recovered one is found again.
-    fn blame(&mut self, now: Tenths, c: usize, weight: f64, out: &mut dyn Outlet) {
-        let p = &mut self.peers[c];
-        p.ill += (1.0 - p.ill) * weight;
-        // Two plain errors in a row, one lost connection or one silence; single stray errors stay below.
-        if p.ill > 0.38 && p.held_until <= now {
+    /// A push naming this member went wrong, or is overdue. Which hop was at fault is seldom told, so every one
+    /// named is marked; the one at fault stands out from the others of its role, and is left alone for a while,
+    /// longer each time, then tried with one push at a time. Where all are equally bad the cause is shared (link,
+    /// origin, overload) and nobody is. Covers silent, slow, failing and lost members; a fast failer attracts
+    /// nothing, and a recovered one is found again. May hurt where half of a role is ill: they hide each other.
+    fn count(&mut self, now: Tenths, c: usize, weight: f64, out: &mut dyn Outlet) {
+        self.peers[c].bad += (1.0 - self.peers[c].bad) * weight;
+        let p = &self.peers[c];
+        if p.held_until > now {
+            return;
+        }
+        let set = if p.role == Role::Parent { &self.parents } else { &self.caches };
+        let (mut sum, mut others) = (0.0, 0.0);
+        for &other in set.iter().filter(|&&o| o != c) {
+            sum += self.peers[other].bad;
+            others += 1.0;
+        }
+        // Twice the others' share and an eighth: a silent parent shows in the missed share of its pushes only,
+        // about a third; chance alone does not get there (four deviations at this gain).
+        if p.bad > 0.12 + 2.0 * sum / f64::max(others, 1.0) {
+            let p = &mut self.peers[c];
             p.held_until = now + p.held_for;
             p.held_for = (p.held_for * 2).min(LONGEST_HOLD);
-            p.on_trial = true;
+            // Where hits can't be told from fills, a source proves itself only by several good answers.
+            p.trial = if p.role == Role::Cache || self.notes == Notes::All { 1 } else { 6 };
             out.log(format_args!("{} is left alone for {} ms", p.id, (p.held_until - now) / 10));
         }
     }
 
     fn praise(&mut self, now: Tenths, c: usize) {
         let p = &mut self.peers[c];
-        p.answered = now;
-        p.hush = 0;
-        p.ill *= 0.8;
-        if p.on_trial && p.held_until <= now {
+        (p.answered, p.hush) = (now, 0);
+        p.bad *= 1.0 - BAD_GAIN;
+        if p.trial > 0 && p.held_until <= now {
+            p.trial -= 1;
             if p.lost {
                 // It was unreachable and is back before the list says so: most likely a fresh start.
                 p.started = p.started.max(Some(now));
                 p.spent = Decaying::default();
                 p.lost = false;
             }
-            (p.on_trial, p.ill) = (false, p.ill.min(0.2));
+            if p.trial == 0 {
+                p.bad = 0.0;
+            }
         }
-        if p.ill < 0.02 {
-            p.held_for = FIRST_HOLD;
+        if p.bad < 0.02 && p.trial == 0 {
+            p.held_for = FIRST_HOLD.max(p.held_for - p.held_for / 16);
         }
     }
 
@@ -894,6 +904,8 @@
 const FIRST_HOLD: Tenths = 5_000;
 const LONGEST_HOLD: Tenths = 40_000;
 
+/// Weight of one push in a member's share of bad ones: the last dozen or two count.
+const BAD_GAIN: f64 = 1.0 / 16.0;
 const START_LIMIT: f64 = 20.0;
 const LEAST_LIMIT: f64 = 2.0;
 const LIMIT_UP: f64 = 0.1;
