--- a/src/control.rs
+++ b/src/control.rs
@@ -71,6 +71,8 @@
     uncacheable: bool,
     /// Mean sending time as seen, in tenths.
     mean: f64,
+    /// Stretches the time after which a push is overdue, so that a twentieth are in ordinary times.
+    patience: f64,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -195,6 +197,7 @@
             uncacheable: o.uncacheable,
             // Until answers tell: half the soft limit, so that first estimates err on the long side.
             mean: o.soft as f64 / 2.0,
+            patience: 1.0,
         });
         Front {
             classes: classes.collect(),
@@ -485,9 +488,11 @@
         let h = &mut self.held[place];
         let wait = a.until - self.margin - now;
         let number = h.sent.len();
-        // Patience: four tenths of the soft limit and half as much again as sending should take, so that
-        // there is time left to do better elsewhere.
-        let patience = (0.4 * self.classes[a.offering].soft + 1.5 * h.work) as Tenths;
+        // Overdue: four tenths of the soft limit and half as much again as sending should take, stretched as this
+        // offering needs; before the soft limit, so that there is time left to do better elsewhere.
+        let class = &self.classes[a.offering];
+        let patience = class.patience * (0.4 * class.soft + 1.5 * h.work);
+        let patience = patience.min(0.9 * (class.soft + class.stretch * h.work)) as Tenths;
         let next = if uncacheable { WRITE } else { READ };
         h.sent.push(Sent {
             cache,
@@ -614,6 +619,8 @@
         let first = !std::mem::replace(&mut h.sent[number].overdue, true);
         let idempotent = self.classes[h.access.offering].effect == Effect::Idempotent;
         if first {
+            let class = &mut self.classes[self.held[place].access.offering];
+            class.patience = (class.patience * 1.02).min(2.0);
             self.peers[cache].hush += u32::from(self.peers[cache].answered < at);
             // Three in a row with nothing back, while others answer: silence, and a sharper sign than lateness.
             let others = self.caches.iter().any(|&c| c != cache && self.peers[c].answered > at);
@@ -771,8 +778,11 @@
                 if now <= self.held[place].soft_at && f64::from(p.out) >= 0.5 * p.limit {
                     p.limit += LIMIT_UP;
                 }
+                let class = &mut self.classes[a.offering];
+                if !self.held[place].sent[e.push].overdue {
+                    class.patience = (class.patience * 0.999).max(0.5);
+                }
                 if a.kb == 0.0 || self.flow == 0.0 {
-                    let class = &mut self.classes[a.offering];
                     class.mean += (e.lag as f64 - class.mean) / 64.0;
                 }
             }
@@ -830,7 +840,7 @@
         }
         // Twice the others' share and an eighth: a silent parent shows in the missed share of its pushes only,
         // about a third; chance alone does not get there (four deviations at this gain).
-        if p.bad > 0.12 + 2.0 * sum / f64::max(others, 1.0) {
+        if p.bad > 0.12 + 2.0 * f64::max(sum / f64::max(others, 1.0), 0.05) {
             let p = &mut self.peers[c];
             p.held_until = now + p.held_for;
             p.held_for = (p.held_for * 2).min(LONGEST_HOLD);
