--- a/src/control.rs
+++ b/src/control.rs
@@ -75,7 +75,7 @@
     patience: f64,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Role {
     Cache,
     Parent,
@@ -773,6 +773,10 @@
                 self.praise(now, cache);
                 if source != cache && (filled || self.notes != Notes::All) {
                     self.praise(now, source);
+                } else if source != cache && self.held[place].sent[e.push].overdue {
+                    // It was a hit after all: the mark against the source is taken back.
+                    let p = &mut self.peers[source];
+                    p.bad = ((p.bad - BAD_GAIN) / (1.0 - BAD_GAIN)).max(0.0);
                 }
                 let p = &mut self.peers[cache];
                 if now <= self.held[place].soft_at && f64::from(p.out) >= 0.5 * p.limit {
@@ -846,7 +850,8 @@
             p.held_for = (p.held_for * 2).min(LONGEST_HOLD);
             // Where hits can't be told from fills, a source proves itself only by several good answers.
             p.trial = if p.role == Role::Cache || self.notes == Notes::All { 1 } else { 6 };
-            out.log(format_args!("{} is left alone for {} ms", p.id, (p.held_until - now) / 10));
+            let role = ["cache", "parent", "origin"][(p.role as usize).min(2)];
+            out.log(format_args!("{role} {} left alone for {} ms", p.id, (p.held_until - now) / 10));
         }
     }
 
