--- a/src/control.rs
+++ b/src/control.rs
@@ -844,7 +844,8 @@
         }
         // Twice the others' share and an eighth: a silent parent shows in the missed share of its pushes only,
         // about a third; chance alone does not get there (four deviations at this gain).
-        if p.bad > 0.16 + 2.0 * f64::max(sum / f64::max(others, 1.0), 0.08) {
+        let told = p.role != Role::Cache && self.notes == Notes::All;
+        if p.bad > if told { 0.32 } else { 0.16 } + 2.0 * f64::max(sum / f64::max(others, 1.0), 0.08) {
             let p = &mut self.peers[c];
             p.held_until = now + p.held_for;
             p.held_for = (p.held_for * 2).min(LONGEST_HOLD);
