--- a/src/control.rs
+++ b/src/control.rs
@@ -462,9 +462,10 @@
                 best = Some(this);
             }
         }
-        // The origin is for when no parent will do, and takes only a few at a time from each front, so that it
-        // outlives the loss of the parents: eight are about what a front's ordinary misses keep in the air.
-        let origin = self.origin.filter(|&o| self.well(now, o) && self.peers[o].out < 8);
+        // The origin is for when no parent will do, and takes no more at a time than it has answered in time, so
+        // that it outlives the loss of the parents.
+        let fits = |o: &usize| self.well(now, *o) && f64::from(self.peers[*o].out) < self.peers[*o].limit;
+        let origin = self.origin.filter(fits);
         match best {
             Some((rank, _, c)) if rank < 2 || origin.is_none() => Some(c),
             _ => origin,
@@ -508,7 +509,6 @@
             let p = &mut self.peers[c];
             p.out += 1;
             p.out_work += mean;
-            p.rate.count(now, mean);
             p.spent.sum += mean;
         }
         out.push(&Push {
@@ -589,6 +589,11 @@
         if self.held[place].sent.iter().any(|s| s.out) {
             return;
         }
+        let last = &self.held[place].sent[e.push];
+        if e.outcome == Outcome::Miss && last.source == last.cache {
+            // Nothing could be named to fill it from, and the cache it belongs to does not have it.
+            return self.finish(place, out);
+        }
         let cost = if e.outcome.proves_unrun() { 0.25 } else { 1.0 };
         if self.spare_pushes < cost {
             return self.finish(place, out);
@@ -631,8 +636,9 @@
             }
         }
         if now >= self.held[place].soft_at {
-            let p = &mut self.peers[cache];
-            p.limit = (p.limit * LIMIT_DOWN).max(LEAST_LIMIT);
+            for c in [cache, source] {
+                self.peers[c].limit = (self.peers[c].limit * LIMIT_DOWN).max(LEAST_LIMIT);
+            }
         }
         let source_ill = !self.well(now, source);
         let ill = source_ill || !self.well(now, cache);
@@ -778,9 +784,14 @@
                     let p = &mut self.peers[source];
                     p.bad = ((p.bad - BAD_GAIN) / (1.0 - BAD_GAIN)).max(0.0);
                 }
-                let p = &mut self.peers[cache];
-                if now <= self.held[place].soft_at && f64::from(p.out) >= 0.5 * p.limit {
-                    p.limit += LIMIT_UP;
+                let in_time = now <= self.held[place].soft_at;
+                let mean = self.classes[a.offering].mean;
+                for c in [Some(cache), Some(source).filter(|&s| s != cache)].into_iter().flatten() {
+                    let p = &mut self.peers[c];
+                    p.rate.count(now, mean);
+                    if in_time && f64::from(p.out) >= 0.5 * p.limit {
+                        p.limit += LIMIT_UP;
+                    }
                 }
                 let class = &mut self.classes[a.offering];
                 if !self.held[place].sent[e.push].overdue {
