--- a/src/control.rs
+++ b/src/control.rs
@@ -41,6 +41,8 @@
     work: f64,
     out: bool,
     overdue: bool,
+    /// Expected to need a fill over the zone's link in.
+    fill: bool,
     /// It went wrong behind the cache, which may be asked again with another source.
     source_failed: bool,
     next: Next,
@@ -60,6 +62,7 @@
 struct Fill {
     at: Tenths,
     queued: Tenths,
+    seen: Tenths,
 }
 
 struct Class {
@@ -171,6 +174,8 @@
     spare_pushes: f64,
     density: f64,
     start_limit: f64,
+    fill_limit: f64,
+    fills_out: f64,
 }
 
 fn mix(a: u64, b: u64) -> u64 {
@@ -235,6 +240,8 @@
             usual: [0.0; 2],
             spare_pushes: 10.0,
             density: 0.0,
+            fill_limit: 2.0 * START_LIMIT / f64::from(s.crew),
+            fills_out: 0.0,
             start_limit: START_LIMIT / f64::from(s.crew),
         }
     }
@@ -367,6 +374,10 @@
     fn pick_for_read(&mut self, now: Tenths, place: usize) -> Option<(usize, usize)> {
         let source = self.pick_source(now, place);
         match self.pick_cache(now, place) {
+            Ok(cache) if self.fills_out >= self.fill_limit * self.keen(place) && self.lacks(now, place) => {
+                // The link in is full: only what the cache holds can be had in time.
+                return Some((cache, cache));
+            }
             Ok(cache) => return Some((cache, source.unwrap_or(cache))),
             Err(crowded) if crowded => return None,
             Err(_) => {}
@@ -398,6 +409,17 @@
         }
     }
 
+    /// How much of a limit this access may use: more, the more benefit it brings for its work.
+    fn keen(&self, place: usize) -> f64 {
+        (0.6 + 0.4 * self.held[place].density / self.density).min(1.25)
+    }
+
+    /// Whether the zone's caches most likely lack it: not seen here for long, or never.
+    fn lacks(&self, now: Tenths, place: usize) -> bool {
+        let a = &self.held[place].access;
+        self.fills.get(&(a.object, a.part)).is_none_or(|f| f.seen + KEPT_FOR < now)
+    }
+
     /// The first cache in the object's order that is well, has room, and if cold stays within its budget.
     fn pick_cache(&mut self, now: Tenths, place: usize) -> Result<usize, bool> {
         let mut crowded = false;
@@ -420,8 +442,7 @@
             let p = &self.peers[c];
             // Overload: what can't be answered in time is turned down before it takes up what could be, lowest
             // benefit for its work first.
-            let keen = (0.6 + 0.4 * self.held[place].density / self.density).min(1.25);
-            if f64::from(p.out) >= p.limit * keen {
+            if f64::from(p.out) >= p.limit * self.keen(place) {
                 crowded |= self.well(now, c);
                 continue;
             }
@@ -433,7 +454,7 @@
             } else if !self.well(now, c) {
                 2
             } else {
-                u8::from(p.out_work + mean > 1.5 * share + 3.0 * mean)
+                u8::from(p.out_work + mean > 1.25 * share + 2.0 * mean)
             };
             let this = (rank, draw(object, p, p.weight), c);
             if best.is_none_or(|b| (this.0, this.1) < (b.0, b.1)) {
@@ -483,6 +504,8 @@
             let since = now.saturating_sub(purged).max(1);
             age = if age == 0 { since } else { age.min(since) };
         }
+        let fill = cache != source && self.lacks(now, place);
+        self.fills_out += f64::from(u8::from(fill));
         let (seen, renew) = if uncacheable { (false, false) } else { self.freshness(now, &a, again) };
         // One-off objects must not displace what is wanted again: a first sight is kept at the lowest rank.
         let rank = if uncacheable { 0 } else { 1 + u8::from(seen) };
@@ -502,6 +525,7 @@
             work: mean,
             out: true,
             overdue: false,
+            fill,
             source_failed: false,
             next,
         });
@@ -537,6 +561,7 @@
             if fill.at < purged || (left == 0 && !reported) {
                 fill.at = now;
             }
+            fill.seen = now;
             return (!again, fresh > 0 && (left as f64) < BETA * fresh as f64);
         }
         // Room for some minutes of distinct parts at a front; a part that was dropped is taken for just filled.
@@ -551,7 +576,7 @@
                 _ => drop(self.fills.remove(&oldest)),
             }
         }
-        self.fills.insert(key, Fill { at: now, queued: now });
+        self.fills.insert(key, Fill { at: now, queued: now, seen: now });
         self.fill_order.push_back(key);
         (false, false)
     }
@@ -565,6 +590,7 @@
             return;
         }
         let (cache, source, work, at, next) = (sent.cache, sent.source, sent.work, sent.at, sent.next);
+        self.fills_out -= f64::from(u8::from(sent.fill));
         for c in [Some(cache), Some(source).filter(|&s| s != cache)].into_iter().flatten() {
             let p = &mut self.peers[c];
             p.out = p.out.saturating_sub(1);
@@ -636,6 +662,9 @@
             }
         }
         if now >= self.held[place].soft_at {
+            if self.held[place].sent[number].fill {
+                self.fill_limit = (self.fill_limit * LIMIT_DOWN).max(LEAST_LIMIT);
+            }
             for c in [cache, source] {
                 self.peers[c].limit = (self.peers[c].limit * LIMIT_DOWN).max(LEAST_LIMIT);
             }
@@ -786,6 +815,9 @@
                 }
                 let in_time = now <= self.held[place].soft_at;
                 let mean = self.classes[a.offering].mean;
+                if in_time && self.held[place].sent[e.push].fill && self.fills_out >= 0.5 * self.fill_limit {
+                    self.fill_limit += LIMIT_UP;
+                }
                 for c in [Some(cache), Some(source).filter(|&s| s != cache)].into_iter().flatten() {
                     let p = &mut self.peers[c];
                     p.rate.count(now, mean);
@@ -936,4 +968,6 @@
 const START_LIMIT: f64 = 20.0;
 const LEAST_LIMIT: f64 = 2.0;
 const LIMIT_UP: f64 = 0.1;
-const LIMIT_DOWN: f64 = 0.96;
+const LIMIT_DOWN: f64 = 0.9;
+/// How long a copy is taken to be kept unused.
+const KEPT_FOR: Tenths = 150_000;
