--- a/src/control.rs
+++ b/src/control.rs
@@ -55,6 +55,7 @@
     density: f64,
     sent: ArrayVec<Sent, MOST_PUSHES>,
     done: bool,
+    looked: bool,
     may_have_run: Option<(usize, Tenths)>,
 }
 
@@ -338,6 +339,7 @@
             density,
             sent: ArrayVec::new(),
             done: false,
+            looked: false,
             may_have_run: None,
         };
         let place = self.held.insert(held);
@@ -374,7 +376,11 @@
     fn pick_for_read(&mut self, now: Tenths, place: usize) -> Option<(usize, usize)> {
         let source = self.pick_source(now, place);
         match self.pick_cache(now, place) {
-            Ok(cache) if self.fills_out >= self.fill_limit * self.keen(place) && self.lacks(now, place) => {
+            Ok(cache)
+                if self.fills_out >= self.fill_limit * self.keen(place) && self.lacks(now, place)
+                    || self.fills_out >= 0.5 * self.fill_limit && !self.held[place].looked =>
+            {
+                self.held[place].looked = true;
                 // The link in is full: only what the cache holds can be had in time.
                 return Some((cache, cache));
             }
@@ -449,13 +455,14 @@
             // Hashing with bounded loads: a cache whose unanswered work is well over its share of all is passed
             // over. Covers slow and silent caches, hot objects and uneven hashing; costs second copies.
             let share = all * p.weight / f64::max(weights, p.weight);
-            let rank = if self.held[place].sent.iter().any(|s| s.cache == c && !s.source_failed) {
-                3
-            } else if !self.well(now, c) {
-                2
-            } else {
-                u8::from(p.out_work + mean > 1.25 * share + 2.0 * mean)
-            };
+            let rank =
+                if self.held[place].sent.iter().any(|s| s.cache == c && s.source != c && !s.source_failed) {
+                    3
+                } else if !self.well(now, c) {
+                    2
+                } else {
+                    u8::from(p.out_work + mean > 1.25 * share + 2.0 * mean)
+                };
             let this = (rank, draw(object, p, p.weight), c);
             if best.is_none_or(|b| (this.0, this.1) < (b.0, b.1)) {
                 best = Some(this);
@@ -504,7 +511,7 @@
             let since = now.saturating_sub(purged).max(1);
             age = if age == 0 { since } else { age.min(since) };
         }
-        let fill = cache != source && self.lacks(now, place);
+        let fill = cache != source && (self.held[place].looked || self.lacks(now, place));
         self.fills_out += f64::from(u8::from(fill));
         let (seen, renew) = if uncacheable { (false, false) } else { self.freshness(now, &a, again) };
         // One-off objects must not displace what is wanted again: a first sight is kept at the lowest rank.
@@ -617,8 +624,11 @@
         }
         let last = &self.held[place].sent[e.push];
         if e.outcome == Outcome::Miss && last.source == last.cache {
-            // Nothing could be named to fill it from, and the cache it belongs to does not have it.
-            return self.finish(place, out);
+            // Looked, and the cache it belongs to does not have it: a fill, if one may be had.
+            if self.fills_out >= self.fill_limit * self.keen(place) {
+                return self.finish(place, out);
+            }
+            return self.route(now, place, out);
         }
         let cost = if e.outcome.proves_unrun() { 0.25 } else { 1.0 };
         if self.spare_pushes < cost {
