--- a/crates/benchlink/src/boot.rs
+++ b/crates/benchlink/src/boot.rs
@@ -1,6 +1,6 @@
 //! The wire's words for settings, outcomes and notes. Unknown settings are skipped.
 
-use doorgrade::{Cold, Effect, Group, Note, Notes, Offering, Outcome, Settings, Siblings, Tenths};
+use doorgrade::{Cold, Effect, Group, Note, Notes, Offering, Outcome, Powers, Settings, Tenths};
 use serde::Deserialize;
 
 use crate::line::Bad;
@@ -15,7 +15,6 @@
     registry_mode: String,
     weight_kind: String,
     limits: Limits,
-    report: Report,
     rules: Rules,
     specifics: Specifics,
 }
@@ -25,9 +24,7 @@
 struct Profile {
     aim: f64,
     aim_stretch: f64,
-    deadline: f64,
     group: String,
-    late_share: f64,
     repeat_window: f64,
     semantics: String,
     worth: f64,
@@ -39,17 +36,10 @@
     cancel: bool,
     max_attempts: usize,
     max_retry_after: f64,
-    probing: bool,
     retry_after: bool,
     second_copies: bool,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Report {
-    fields: Vec<String>,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Rules {
@@ -63,7 +53,6 @@
 #[serde(rename_all = "camelCase", default)]
 struct Specifics {
     crew_by_zone: Vec<u32>,
-    lateral: String,
     max_age: Vec<f64>,
     notes_given: String,
     parent_cold: f64,
@@ -88,7 +77,6 @@
             registry_mode: "automatic".into(),
             weight_kind: "silent".into(),
             limits: Limits { max_attempts: 1, ..Limits::default() },
-            report: Report::default(),
             rules: Rules::default(),
             specifics: Specifics::default(),
         }
@@ -100,9 +88,7 @@
         Profile {
             aim: 0.0,
             aim_stretch: 0.0,
-            deadline: 0.0,
             group: "all".into(),
-            late_share: 0.0,
             repeat_window: 0.0,
             semantics: "free".into(),
             worth: 1.0,
@@ -120,7 +106,6 @@
     fn default() -> Self {
         Specifics {
             crew_by_zone: Vec::new(),
-            lateral: "silent".into(),
             max_age: Vec::new(),
             notes_given: "silent".into(),
             parent_cold: 0.0,
@@ -159,9 +144,7 @@
         offerings.push(Offering {
             soft: tenths(p.aim),
             stretch: p.aim_stretch,
-            hard: tenths(p.deadline),
             benefit: p.worth,
-            late_share: p.late_share,
             effect: match p.semantics.as_str() {
                 "free" => Effect::Idempotent,
                 "guarded" => Effect::Deduplicated { within, window: tenths(p.repeat_window) },
@@ -172,29 +155,23 @@
             uncacheable: own.pass_on.get(at).copied().unwrap_or(false),
         });
     }
-    let place = |name: &str| boot.report.fields.iter().position(|f| f == name);
     Ok(Settings {
         offerings,
         zone: boot.zone,
         crew: own.crew_by_zone.get(boot.zone).copied().unwrap_or(boot.fleet_size).max(1),
-        fleet: boot.fleet_size.max(1),
         parent_kind: usize::try_from(own.upper_kind).ok(),
         origin_kind: usize::try_from(own.root_kind).ok(),
-        siblings: match own.lateral.as_str() {
-            "location" => Siblings::OwnZone,
-            "any" => Siblings::Any,
-            _ => Siblings::Never,
-        },
         notes: match own.notes_given.as_str() {
             "all" => Notes::All,
             "hit" => Notes::Hits,
             _ => Notes::Never,
         },
-        joins: own.shares_fills,
-        straight: own.straight,
-        probes: boot.limits.probing,
-        cancels: boot.limits.cancel,
-        second_copies: boot.limits.second_copies,
+        may: Powers {
+            joins: own.shares_fills,
+            straight: own.straight,
+            cancels: boot.limits.cancel,
+            second_copies: boot.limits.second_copies,
+        },
         advice: if boot.limits.retry_after { tenths(boot.limits.max_retry_after) } else { 0 },
         max_pushes: boot.limits.max_attempts,
         weights: matches!(boot.weight_kind.as_str(), "nominal" | "rough"),
@@ -214,8 +191,6 @@
             window: tenths(boot.rules.fall),
         },
         purge_done: tenths(own.purge_done),
-        report_held: place("rif"),
-        report_busy: place("busy"),
     })
 }
 
--- a/crates/benchlink/src/line.rs
+++ b/crates/benchlink/src/line.rs
@@ -75,15 +75,6 @@
         }
     }
 
-    pub fn list(&self, name: &str, into: &mut Vec<f64>) -> Result<(), Bad> {
-        into.clear();
-        let Some(value) = self.get(name) else { return Ok(()) };
-        for part in value.split(',').filter(|p| !p.is_empty()) {
-            into.push(part.parse().map_err(|_| self.unreadable(name, value))?);
-        }
-        Ok(())
-    }
-
     /// Milliseconds with a fraction, exactly, in thousandths.
     fn thousandths(&self, name: &str) -> Result<u64, Bad> {
         let value = self.text(name)?;
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -20,16 +20,11 @@
     fronts: FxHashMap<Box<str>, Front>,
     censuses: FxHashMap<u64, Census>,
     writer: Writer,
-    values: Vec<f64>,
 }
 
 fn main() -> ExitCode {
-    let mut link = Link {
-        fronts: FxHashMap::default(),
-        censuses: FxHashMap::default(),
-        writer: Writer::default(),
-        values: Vec::new(),
-    };
+    let mut link =
+        Link { fronts: FxHashMap::default(), censuses: FxHashMap::default(), writer: Writer::default() };
     let mut input = io::BufReader::with_capacity(1 << 16, io::stdin().lock());
     let mut number = 0;
     match serve(&mut link, &mut input, &mut number) {
@@ -149,7 +144,6 @@
                 group: line.whole_or("tag", 0)?,
                 kb: line.number_or("kb", 0.0)?,
                 until: line.time_down("notAfter")?,
-                repeat: line.flag("isRetry")?,
             };
             if !front.knows_offering(access.offering) {
                 return Err(Bad(format!("field 'band': no class {}", access.offering)));
@@ -157,22 +151,20 @@
             front.access(now, &access, out);
         }
         "ended" => {
-            line.list("pressure", &mut link.values)?;
             let ended = Ended {
                 push: line.whole_or("sendNo", 0)? as usize,
                 outcome: boot::outcome(line.text("rc")?)?,
                 settled: line.flag("settled")?,
                 lag: line.time_down("lag")?,
                 note: boot::note(line.whole_or("info", 0)?)?,
-                report: &link.values,
             };
-            front.ended(now, line.whole("requestId")?, line.text("cache")?, &ended, out);
+            front.ended(now, line.whole("requestId")?, &ended, out);
         }
         "due" => front.due(now, line.whole("keyBack")?, out),
-        "hangup" => front.left(line.whole("requestId")?),
+        "hangup" => front.left(line.whole("requestId")?, out),
         "accepted" => {
             let push = line.whole_or("sendNo", 0)? as usize;
-            front.begun(now, line.whole("requestId")?, line.text("cache")?, push);
+            front.begun(now, line.whole("requestId")?, push);
         }
         "expired_now" => {
             let object = line.get("asset").map(|_| line.whole("asset")).transpose()?;
@@ -193,12 +185,8 @@
                 link.censuses.get(&sheet).ok_or_else(|| Bad(format!("field 'sheet': no census {sheet}")))?;
             front.listed(now, census, full, out);
         }
-        "health" => {
-            line.list("pressure", &mut link.values)?;
-            let outcome = boot::outcome(line.text("rc")?)?;
-            front.probed(now, line.text("cache")?, outcome, &link.values);
-        }
-        "note_from" => {}
+        // Never asked for: the front neither probes nor talks to its peers.
+        "health" | "note_from" => {}
         "detach" => {
             link.fronts.remove(who);
         }
--- a/src/face.rs
+++ b/src/face.rs
@@ -27,14 +27,6 @@
     Gone,
 }
 
-/// Which caches may supply a fill.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Siblings {
-    Never,
-    OwnZone,
-    Any,
-}
-
 /// What answers tell about how they came about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Notes {
@@ -48,9 +40,7 @@
     pub soft: Tenths,
     /// The soft limit grows by this multiple of the access's own sending time.
     pub stretch: f64,
-    pub hard: Tenths,
     pub benefit: f64,
-    pub late_share: f64,
     pub effect: Effect,
     /// 0: a copy is good until it is purged.
     pub fresh: Tenths,
@@ -65,16 +55,10 @@
     pub zone: usize,
     /// Fronts that serve this front's zone, itself included.
     pub crew: u32,
-    pub fleet: u32,
     pub parent_kind: Option<usize>,
     pub origin_kind: Option<usize>,
-    pub siblings: Siblings,
     pub notes: Notes,
-    pub joins: bool,
-    pub straight: bool,
-    pub probes: bool,
-    pub cancels: bool,
-    pub second_copies: bool,
+    pub may: Powers,
     /// Longest advice to stay away that is passed on; 0 where none is.
     pub advice: Tenths,
     pub max_pushes: usize,
@@ -88,9 +72,18 @@
     pub cold: Cold,
     pub parent_cold: Cold,
     pub purge_done: Tenths,
-    /// Places of the values in a load report, where they are reported.
-    pub report_held: Option<usize>,
-    pub report_busy: Option<usize>,
+}
+
+/// What the settings allow beyond the ordinary.
+#[derive(Clone, Copy, Debug)]
+pub struct Powers {
+    /// An access may join a fill under way.
+    pub joins: bool,
+    /// An access may go straight to a parent or the origin.
+    pub straight: bool,
+    pub cancels: bool,
+    /// Two pushes of one access may be out at once.
+    pub second_copies: bool,
 }
 
 /// What a member that has just started can do, and when more than that makes it fall.
@@ -124,7 +117,6 @@
     /// 0 where it is not told.
     pub kb: f64,
     pub until: Tenths,
-    pub repeat: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -164,13 +156,12 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Ended<'a> {
+pub struct Ended {
     pub push: usize,
     pub outcome: Outcome,
     pub settled: bool,
     pub lag: Tenths,
     pub note: Note,
-    pub report: &'a [f64],
 }
 
 /// One push of an access, as it goes out.
