--- a/src/control.rs
+++ b/src/control.rs
@@ -22,13 +22,19 @@
 /// What an access does next, left behind by each push: it is handed the push's result.
 type Next = fn(&mut Front, Tenths, usize, &Ended, &mut dyn Outlet);
 
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Out,
+    Unrun,
+    MayHaveRun,
+}
+
 struct Sent {
-    cache: usize,
-    source: usize,
+    /// The cache and the source; the cache itself where nothing is to be filled.
+    to: (usize, usize),
     at: Tenths,
     work: f64,
-    out: bool,
-    unrun: bool,
+    state: State,
     overdue: bool,
     /// Expected to need a fill over the zone's link in.
     fill: bool,
@@ -43,6 +49,10 @@
     soft_at: Tenths,
     /// How much of a limit it may use: more, the more benefit it brings for its work.
     keen: f64,
+    /// The zone's caches most likely lack it.
+    lacks: bool,
+    rank: u8,
+    renew: bool,
     sent: ArrayVec<Sent, MOST_PUSHES>,
     looked: bool,
     done: bool,
@@ -56,12 +66,7 @@
 }
 
 struct Class {
-    soft: f64,
-    stretch: f64,
-    benefit: f64,
-    effect: Effect,
-    fresh: Tenths,
-    uncacheable: bool,
+    of: Offering,
     /// Mean sending time as seen.
     mean: f64,
     /// Stretches the time after which a push is overdue, so that a twentieth are in ordinary times.
@@ -172,23 +177,14 @@
 }
 
 /// Both members that a push names, once each.
-fn hops(cache: usize, source: usize) -> impl Iterator<Item = usize> {
+fn hops((cache, source): (usize, usize)) -> impl Iterator<Item = usize> {
     std::iter::once(cache).chain(Some(source).filter(move |&s| s != cache))
 }
 
 impl Front {
     pub fn new(s: &Settings, seed: u64) -> Self {
-        let class = |o: &Offering| Class {
-            soft: o.soft as f64,
-            stretch: o.stretch,
-            benefit: o.benefit,
-            effect: o.effect,
-            fresh: o.fresh,
-            uncacheable: o.uncacheable,
-            // Until answers tell: half the soft limit, so that first estimates err on the long side.
-            mean: o.soft as f64 / 2.0,
-            patience: 1.0,
-        };
+        // Until answers tell: half the soft limit, so that first estimates err on the long side.
+        let class = |o: &Offering| Class { of: o.clone(), mean: o.soft as f64 / 2.0, patience: 1.0 };
         // A guess that the answers soon correct: a score of pushes out at one cache, from all of its fronts.
         let start_limit = 20.0 / f64::from(s.crew);
         Front {
@@ -295,8 +291,8 @@
         let told = a.kb > 0.0 && self.flow > 0.0;
         let work = if told { a.kb / self.flow } else { class.mean };
         class.mean += (work - class.mean) / 64.0;
-        let soft_at = now + (class.soft + class.stretch * work) as Tenths;
-        let density = class.benefit / work.max(1.0);
+        let soft_at = now + class.of.soft + (class.of.stretch * work) as Tenths;
+        let density = class.of.benefit / work.max(1.0);
         self.density += (density - self.density) * if self.density == 0.0 { 1.0 } else { 1.0 / 64.0 };
         // From six tenths of a limit for the least benefit to five quarters for the most: under overload the
         // lowest benefit for its work goes first, and no offering is shut out.
@@ -304,9 +300,10 @@
         // Further pushes are paid from a fund that grows with the accesses, so that a shared trouble can't
         // multiply the load: a fifth of an access for each, saved up for twenty at most.
         self.spare_pushes = (self.spare_pushes + 0.2).min(20.0);
-        let sent = ArrayVec::new();
-        let place =
-            self.held.insert(Held { access: *a, work, soft_at, keen, sent, looked: false, done: false });
+        let (lacks, rank, renew) = self.remember(now, a);
+        let (sent, looked, done) = (ArrayVec::new(), false, false);
+        let held = Held { access: *a, work, soft_at, keen, lacks, rank, renew, sent, looked, done };
+        let place = self.held.insert(held);
         self.places.insert(a.id, place);
         self.route(now, place, out);
     }
@@ -319,25 +316,25 @@
             return self.finish(place, out);
         }
         let mean = self.classes[a.offering].mean;
-        if self.classes[a.offering].uncacheable {
+        if self.classes[a.offering].of.uncacheable {
             let cache = if self.may.straight { self.origin } else { self.pick_cache(now, place, mean).ok() };
             return match cache.filter(|&c| self.may_repeat_at(now, place, c)).zip(self.origin) {
-                Some((cache, origin)) => self.push(now, place, cache, origin, Self::after_push, out),
+                Some((cache, origin)) => self.push(now, place, (cache, origin), Self::after_push, out),
                 None => self.finish(place, out),
             };
         }
         let source = self.pick_source(now, place, mean);
         match (self.pick_cache(now, place, mean), source) {
-            (Ok(cache), _) if self.look_first(now, place) => {
+            (Ok(cache), _) if self.look_first(place) => {
                 self.held[place].looked = true;
-                self.push(now, place, cache, cache, Self::after_look, out)
+                self.push(now, place, (cache, cache), Self::after_look, out)
             }
-            (Ok(cache), Some(source)) => self.push(now, place, cache, source, Self::after_push, out),
-            (Ok(cache), None) => self.push(now, place, cache, cache, Self::after_look, out),
+            (Ok(cache), Some(source)) => self.push(now, place, (cache, source), Self::after_push, out),
+            (Ok(cache), None) => self.push(now, place, (cache, cache), Self::after_look, out),
             // No cache of the zone is well, or all are cold: straight to the source, where that is allowed.
             (Err(crowded), Some(s)) if !crowded && self.may.straight && self.may_repeat_at(now, place, s) => {
                 let from = if self.peers[s].role == Role::Parent { self.origin.unwrap_or(s) } else { s };
-                self.push(now, place, s, from, Self::after_push, out)
+                self.push(now, place, (s, from), Self::after_push, out)
             }
             _ => self.finish(place, out),
         }
@@ -347,33 +344,27 @@
     /// and are missed again. Fills have a limit of their own, learned like a cache's; from half of it on, an access
     /// first asks the cache for what it holds, and is filled only on a miss and while there is room. Covers a slow
     /// or crowded link, parent or origin, mass purges, cold zones, one-off objects; costs a round trip.
-    fn look_first(&self, now: Tenths, place: usize) -> bool {
+    fn look_first(&self, place: usize) -> bool {
         let h = &self.held[place];
         let full = self.fills_out >= self.fill_limit * h.keen;
-        !h.looked && self.fills_out >= 0.5 * self.fill_limit || full && self.lacks(now, &h.access)
-    }
-
-    /// Whether the zone's caches most likely lack it: never seen here, or not for longer than copies are likely to
-    /// be kept unused. Only a first guess for counting fills; a look or an answer corrects it.
-    fn lacks(&self, now: Tenths, a: &Access) -> bool {
-        self.fills.get(&(a.object, a.part)).is_none_or(|f| f.seen + 150_000 < now)
+        !h.looked && self.fills_out >= 0.5 * self.fill_limit || full && h.lacks
     }
 
     /// Rule 2: while an earlier push may have run, an unrepeatable access goes nowhere, and a deduplicated one only
     /// within the group and the window of all of those.
     fn may_repeat_at(&self, now: Tenths, place: usize, cache: usize) -> bool {
         let h = &self.held[place];
-        let effect = self.classes[h.access.offering].effect;
-        h.sent.iter().filter(|s| !s.unrun).all(|s| match effect {
+        let effect = self.classes[h.access.offering].of.effect;
+        h.sent.iter().filter(|s| s.state != State::Unrun).all(|s| match effect {
             Effect::Idempotent => true,
             Effect::Unrepeatable => false,
             Effect::Deduplicated { within, window } => {
-                let (a, b) = (&self.peers[s.cache], &self.peers[cache]);
+                let (a, b) = (&self.peers[s.to.0], &self.peers[cache]);
                 let known = match within {
                     Group::All => true,
                     Group::Zone => a.zone == b.zone,
                     Group::Cell => {
-                        s.cache == cache || (a.cell == b.cell && a.role == b.role && a.zone == b.zone)
+                        s.to.0 == cache || (a.cell == b.cell && a.role == b.role && a.zone == b.zone)
                     }
                 };
                 known && now < s.at + window
@@ -413,7 +404,7 @@
                 return None;
             }
             let p = &self.peers[c];
-            if h.sent.iter().any(|s| s.cache == c && s.source != c && !s.source_failed) {
+            if h.sent.iter().any(|s| s.to.0 == c && s.to.1 != c && !s.source_failed) {
                 return Some(3);
             }
             if !self.well(now, c) {
@@ -435,84 +426,65 @@
         let h = &self.held[place];
         let best = self.first(h.access.object, &self.parents, |c| match c {
             _ if !self.cold_room(now, c, mean) => None,
-            _ if h.sent.iter().any(|s| (s.source == c && s.cache != c) || s.cache == c) => Some(3),
+            _ if h.sent.iter().any(|s| s.to.0 == c || s.to.1 == c) => Some(3),
             _ => Some(if self.well(now, c) { 0 } else { 2 }),
         });
         let fits = |&o: &usize| self.well(now, o) && f64::from(self.peers[o].out) < self.peers[o].limit;
         best.filter(|b| b.0 == 0).map(|b| b.1).or(self.origin.filter(fits)).or(best.map(|b| b.1))
     }
 
-    fn push(
-        &mut self,
-        now: Tenths,
-        place: usize,
-        cache: usize,
-        source: usize,
-        next: Next,
-        out: &mut dyn Outlet,
-    ) {
+    /// One push, to a cache and naming a source.
+    fn push(&mut self, now: Tenths, place: usize, to: (usize, usize), next: Next, out: &mut dyn Outlet) {
         let h = &self.held[place];
-        let (a, number, work, again) = (h.access, h.sent.len(), h.work, !h.sent.is_empty());
+        let Held { access: a, lacks, rank, renew, .. } = *h;
         let class = &self.classes[a.offering];
-        let Class { mean, uncacheable, .. } = *class;
-        // Overdue: four tenths of the soft limit and half as much again as sending should take, stretched as this
-        // offering needs; before the soft limit, so that there is time left to do better elsewhere.
-        let patience = class.patience * (0.4 * class.soft + 1.5 * work);
-        let overdue = now + patience.min(0.9 * (class.soft + class.stretch * work)) as Tenths;
+        let (work, uncacheable) = (class.mean, class.of.uncacheable);
         /// Freshness threshold: the paper's basic case.
         const ALPHA: Tenths = 0;
-        let mut age = class.fresh.saturating_sub(ALPHA);
+        let mut age = class.of.fresh.saturating_sub(ALPHA);
         if let Some(purged) = self.purged_at(now, &a) {
             // Rule 5: from the first word on, nothing older than the purge; 0 would mean any age.
             let since = now.saturating_sub(purged).max(1);
             age = if age == 0 { since } else { age.min(since) };
         }
-        let fill = cache != source && !uncacheable && (h.looked || self.lacks(now, &a));
+        if !uncacheable {
+            // Overdue: four tenths of the soft limit and half as much again as sending should take, stretched as
+            // this offering needs; before the soft limit, so that there is time left to do better elsewhere.
+            let soft = class.of.soft as f64;
+            let overdue = class.patience * (0.4 * soft + 1.5 * h.work);
+            let overdue = overdue.min(0.9 * (soft + class.of.stretch * h.work)) as Tenths;
+            out.wake(now + overdue, a.id << 4 | h.sent.len() as u64);
+        }
+        let fill = to.0 != to.1 && !uncacheable && (h.looked || lacks);
         self.fills_out += f64::from(u8::from(fill));
-        let (seen, renew) = if uncacheable { (false, false) } else { self.freshness(now, &a) };
-        for c in hops(cache, source) {
+        for c in hops(to) {
             let leak = self.cold_budget(now, c).map_or(0.0, |b| COLD_LEAK * b);
             let p = &mut self.peers[c];
             p.out += 1;
-            p.out_work += mean;
-            p.spent = Fading { sum: p.spent.left(now, leak) + mean, at: now };
-        }
-
-        self.held[place].sent.push(Sent {
-            cache,
-            source,
-            at: now,
-            work: mean,
-            out: true,
-            unrun: false,
-            overdue: false,
-            fill,
-            source_failed: false,
-            next,
-        });
-        out.push(&Push {
-            access: a.id,
-            cache: &self.peers[cache].id,
-            source: &self.peers[source].id,
-            wait: a.until - self.margin - now,
-            age,
-            // One-off objects must not displace what is wanted again: a first sight is kept at the lowest rank.
-            rank: if uncacheable { 0 } else { 1 + u8::from(seen && !again) },
-            join: self.may.joins && !uncacheable,
-            renew,
-        });
-        if !uncacheable {
-            out.wake(overdue, a.id << 4 | number as u64);
+            p.out_work += work;
+            p.spent = Fading { sum: p.spent.left(now, leak) + work, at: now };
         }
+        let state = State::Out;
+        let sent = Sent { to, at: now, work, state, overdue: false, fill, source_failed: false, next };
+        self.held[place].sent.push(sent);
+        let (cache, source) = (&*self.peers[to.0].id, &*self.peers[to.1].id);
+        let (wait, join) = (a.until - self.margin - now, self.may.joins && !uncacheable);
+        out.push(&Push { access: a.id, cache, source, wait, age, rank, join, renew });
     }
 
-    /// The design's estimate for this part: whether it was seen before, and whether to renew it behind.
-    fn freshness(&mut self, now: Tenths, a: &Access) -> (bool, bool) {
+    /// The design's estimate for this part: whether the zone's caches most likely lack it (never seen here, or not
+    /// for longer than copies are likely to be kept unused: a first guess, which looks and answers correct), at
+    /// which rank to keep it, and whether to renew it behind.
+    fn remember(&mut self, now: Tenths, a: &Access) -> (bool, u8, bool) {
         /// Retrieval threshold, a share of the fresh time: the cap, as caches renew only in a copy's last fifth.
         const BETA: f64 = 0.2;
         /// Some minutes of distinct parts at a front; a part that was dropped is taken for just filled.
         const MOST_FILLS: usize = 1 << 16;
-        let fresh = self.classes[a.offering].fresh;
+        let (fresh, uncacheable) =
+            (self.classes[a.offering].of.fresh, self.classes[a.offering].of.uncacheable);
+        if uncacheable {
+            return (false, 0, false);
+        }
         let purged = self.purged_at(now, a).unwrap_or(0);
         let key = (a.object, a.part);
         if let Some(fill) = self.fills.get_mut(&key) {
@@ -520,8 +492,8 @@
             if fill.at < purged || (left == 0 && self.notes != Notes::All) {
                 fill.at = now;
             }
-            fill.seen = now;
-            return (true, fresh > 0 && (left as f64) < BETA * fresh as f64);
+            let seen = std::mem::replace(&mut fill.seen, now);
+            return (seen + 150_000 < now, 2, fresh > 0 && (left as f64) < BETA * fresh as f64);
         }
         while self.fills.len() >= MOST_FILLS {
             let Some(oldest) = self.fill_order.pop_front() else { break };
@@ -535,23 +507,26 @@
         }
         self.fills.insert(key, Fill { at: now, queued: now, seen: now });
         self.fill_order.push_back(key);
-        (false, false)
+        // One-off objects must not displace what is wanted again: a first sight is kept at the lowest rank.
+        (true, 1, false)
     }
 
     // ---- what comes back
 
     pub fn ended(&mut self, now: Tenths, id: AccessId, e: &Ended, out: &mut dyn Outlet) {
         let Some(&place) = self.places.get(&id) else { return };
-        let Some(sent) = self.held[place].sent.get_mut(e.push).filter(|s| s.out) else { return };
-        (sent.out, sent.unrun) = (false, e.outcome.proves_unrun());
-        let (cache, source, work, next) = (sent.cache, sent.source, sent.work, sent.next);
+        let Some(sent) = self.held[place].sent.get_mut(e.push).filter(|s| s.state == State::Out) else {
+            return;
+        };
+        sent.state = if e.outcome.proves_unrun() { State::Unrun } else { State::MayHaveRun };
+        let Sent { to, work, next, .. } = *sent;
         self.fills_out -= f64::from(u8::from(sent.fill));
-        for c in hops(cache, source) {
+        for c in hops(to) {
             let p = &mut self.peers[c];
             p.out -= 1;
             p.out_work = (p.out_work - work).max(0.0);
         }
-        self.judge(now, place, cache, source, e, out);
+        self.judge(now, place, to, e, out);
         let h = &mut self.held[place];
         if e.settled && !h.done {
             h.done = true;
@@ -573,7 +548,7 @@
     }
 
     fn after_push(&mut self, now: Tenths, place: usize, e: &Ended, out: &mut dyn Outlet) {
-        if self.held[place].sent.iter().any(|s| s.out) {
+        if self.held[place].sent.iter().any(|s| s.state == State::Out) {
             return;
         }
         let cost = if e.outcome.proves_unrun() { 0.25 } else { 1.0 };
@@ -590,7 +565,8 @@
         let h = &mut self.held[place];
         let (a, soft_at) = (h.access, h.soft_at);
         let last = h.sent.len() == number + 1;
-        let Sent { cache, source, at, fill, .. } = h.sent[number];
+        let Sent { to, at, fill, .. } = h.sent[number];
+        let (cache, source) = to;
         let class = &mut self.classes[a.offering];
         if !std::mem::replace(&mut h.sent[number].overdue, true) {
             // A twentieth overdue keeps it where it is.
@@ -608,13 +584,13 @@
             if fill {
                 self.fill_limit = lower(self.fill_limit);
             }
-            for c in hops(cache, source) {
+            for c in hops(to) {
                 self.peers[c].limit = lower(self.peers[c].limit);
             }
         }
         let source_ill = source != cache && !self.well(now, source);
         let ill = source_ill || !self.well(now, cache);
-        let idempotent = self.classes[a.offering].effect == Effect::Idempotent;
+        let idempotent = self.classes[a.offering].of.effect == Effect::Idempotent;
         if ill && last && idempotent && self.spare_pushes >= 1.0 && self.may.second_copies {
             self.spare_pushes -= 1.0;
             self.held[place].sent[number].source_failed = source_ill;
@@ -631,9 +607,9 @@
     fn finish(&mut self, place: usize, out: &mut dyn Outlet) {
         let h = &mut self.held[place];
         h.done = true;
-        let harmless = match self.classes[h.access.offering].effect {
+        let harmless = match self.classes[h.access.offering].of.effect {
             Effect::Idempotent | Effect::Deduplicated { within: Group::All, .. } => true,
-            _ => h.sent.iter().all(|s| s.unrun),
+            _ => h.sent.iter().all(|s| s.state == State::Unrun),
         };
         if harmless {
             // Clients that heed it come back spread over the second half of what they would wait at most.
@@ -647,13 +623,19 @@
 
     fn withdraw_rest(&mut self, place: usize, out: &mut dyn Outlet) {
         let h = &self.held[place];
-        if self.may.cancels && self.classes[h.access.offering].effect == Effect::Idempotent {
-            h.sent.iter().enumerate().filter(|(_, s)| s.out).for_each(|(n, _)| out.withdraw(h.access.id, n));
+        if self.may.cancels && self.classes[h.access.offering].of.effect == Effect::Idempotent {
+            h.sent
+                .iter()
+                .enumerate()
+                .filter(|(_, s)| s.state == State::Out)
+                .for_each(|(n, _)| out.withdraw(h.access.id, n));
         }
     }
 
     fn tidy(&mut self, place: usize) {
-        if let Some(h) = self.held.get(place).filter(|h| h.done && h.sent.iter().all(|s| !s.out)) {
+        if let Some(h) =
+            self.held.get(place).filter(|h| h.done && h.sent.iter().all(|s| s.state != State::Out))
+        {
             self.places.remove(&h.access.id);
             self.held.remove(place);
         }
@@ -665,7 +647,7 @@
         }
         let Some(&place) = self.places.get(&(key >> 4)) else { return };
         let (h, number) = (&self.held[place], (key & 15) as usize);
-        if !h.done && h.sent.get(number).is_some_and(|s| s.out) {
+        if !h.done && h.sent.get(number).is_some_and(|s| s.state == State::Out) {
             self.overdue(now, place, number, out);
         }
     }
@@ -681,7 +663,7 @@
     pub fn begun(&mut self, now: Tenths, id: AccessId, push: usize) {
         let Some(&place) = self.places.get(&id) else { return };
         if let Some(sent) = self.held[place].sent.get(push) {
-            self.peers[sent.cache].answered = now;
+            self.peers[sent.to.0].answered = now;
             self.held[place].done = true;
         }
     }
@@ -716,15 +698,8 @@
 
     // ---- health
 
-    fn judge(
-        &mut self,
-        now: Tenths,
-        place: usize,
-        cache: usize,
-        source: usize,
-        e: &Ended,
-        out: &mut dyn Outlet,
-    ) {
+    fn judge(&mut self, now: Tenths, place: usize, to: (usize, usize), e: &Ended, out: &mut dyn Outlet) {
+        let (cache, source) = to;
         let h = &mut self.held[place];
         let (a, sent) = (h.access, &mut h.sent[e.push]);
         match e.outcome {
@@ -745,7 +720,7 @@
                     self.fill_limit += RAISE;
                 }
                 let (mean, overdue) = (class.mean, sent.overdue);
-                for c in hops(cache, source) {
+                for c in hops(to) {
                     let p = &mut self.peers[c];
                     p.carries.count(now, mean);
                     if in_time && f64::from(p.out) >= 0.5 * p.limit {
@@ -776,7 +751,7 @@
                     }
                     Note::SourceLacks | Note::NoFillPlace => {}
                     _ if e.outcome == Outcome::Error => {
-                        hops(cache, source).for_each(|c| self.mark(now, c, 2.0 * MARK, out));
+                        hops(to).for_each(|c| self.mark(now, c, 2.0 * MARK, out));
                     }
                     _ if e.outcome == Outcome::Full => p.limit = lower(p.limit.min(f64::from(p.out))),
                     _ => {}
