--- a/src/control.rs
+++ b/src/control.rs
@@ -15,6 +15,7 @@
 use slab::Slab;
 
 use crate::face::*;
+use crate::fading::Fading;
 
 /// Pushes kept for one access; no settings seen allow more, and a ninth would seldom be in time.
 const MOST_PUSHES: usize = 8;
@@ -110,28 +111,6 @@
     spent: Fading,
 }
 
-/// A sum that fades: by halves for a rate, by a steady leak for a budget.
-#[derive(Default)]
-struct Fading {
-    sum: f64,
-    at: Tenths,
-}
-
-impl Fading {
-    /// A rate looks back some seconds: a few dozen pushes, yet short enough to follow a surge.
-    const OVER: f64 = 40_000.0;
-
-    fn rate(&self, now: Tenths) -> f64 {
-        self.sum * (-(now.saturating_sub(self.at) as f64) / Self::OVER).exp() / Self::OVER
-    }
-    fn count(&mut self, now: Tenths, work: f64) {
-        *self = Fading { sum: self.rate(now) * Self::OVER + work, at: now };
-    }
-    fn left(&self, now: Tenths, leak: f64) -> f64 {
-        (self.sum - now.saturating_sub(self.at) as f64 * leak).max(0.0)
-    }
-}
-
 pub struct Front {
     classes: Vec<Class>,
     zone: usize,
@@ -156,9 +135,9 @@
     places: FxHashMap<AccessId, usize>,
     fills: FxHashMap<(u64, u32), Fill>,
     fill_order: VecDeque<(u64, u32)>,
-    purged_objects: FxHashMap<u64, Tenths>,
-    purged_groups: FxHashMap<u64, Tenths>,
-    purge_order: VecDeque<(Tenths, u64)>,
+    /// When an object (true) or a group was purged.
+    purges: FxHashMap<(bool, u64), Tenths>,
+    purge_order: VecDeque<(Tenths, (bool, u64))>,
     /// What a warm cache, and a warm parent, of weight 1 carries for this front.
     usual: [f64; 2],
     /// Mean benefit for its work of an access.
@@ -212,8 +191,7 @@
             places: FxHashMap::default(),
             fills: FxHashMap::default(),
             fill_order: VecDeque::new(),
-            purged_objects: FxHashMap::default(),
-            purged_groups: FxHashMap::default(),
+            purges: FxHashMap::default(),
             purge_order: VecDeque::new(),
             usual: [0.0; 2],
             density: 0.0,
@@ -247,23 +225,13 @@
                     _ if m.zone == self.zone => Role::Cache,
                     _ => Role::Elsewhere,
                 };
-                let (id, hash, zone, cell) = (m.id.clone(), hasher.finish(), m.zone, m.cell);
-                let (started, limit, held_for) = (m.started, self.start_limit, FIRST_HOLD);
-                self.peers.push(Peer {
-                    id,
-                    hash,
-                    role,
-                    zone,
-                    cell,
-                    started,
-                    limit,
-                    held_for,
-                    ..Peer::default()
-                });
+                let (id, hash, limit) = (m.id.clone(), hasher.finish(), self.start_limit);
+
+                self.peers.push(Peer { id, hash, role, limit, held_for: FIRST_HOLD, ..Peer::default() });
                 self.peers.len() - 1
             });
             let p = &mut self.peers[at];
-            p.gone = m.standing != Standing::Listed;
+            (p.zone, p.cell, p.gone) = (m.zone, m.cell, m.standing != Standing::Listed);
             p.weight = if self.weights && m.weight > 0.0 { m.weight } else { 1.0 };
             if m.started > p.started {
                 // It runs again: what was held against it was about the process before.
@@ -324,13 +292,21 @@
             };
         }
         let source = self.pick_source(now, place, mean);
+        // Exception to the ordinary path: a full link in feeds on itself, since fills that come too late are not
+        // kept and are missed again. Fills have a limit of their own, learned like a cache's; from half of it on, an
+        // access first asks the cache for what it holds, and is filled only on a miss and while there is room. The
+        // same where no source can be named. Covers a slow or crowded link, parent or origin, mass purges, cold
+        // zones and one-off objects; costs a round trip.
+        let (limit, looked) = (self.fill_limit, self.held[place].looked);
+        let (tight, full) = (self.fills_out >= 0.5 * limit, self.fills_out >= limit * self.held[place].keen);
         match (self.pick_cache(now, place, mean), source) {
-            (Ok(cache), _) if self.look_first(place) => {
+            (Ok(cache), source) if !looked && (tight || source.is_none()) => {
                 self.held[place].looked = true;
                 self.push(now, place, (cache, cache), Self::after_look, out)
             }
-            (Ok(cache), Some(source)) => self.push(now, place, (cache, source), Self::after_push, out),
-            (Ok(cache), None) => self.push(now, place, (cache, cache), Self::after_look, out),
+            (Ok(cache), Some(source)) if !(looked && full) => {
+                self.push(now, place, (cache, source), Self::after_push, out)
+            }
             // No cache of the zone is well, or all are cold: straight to the source, where that is allowed.
             (Err(crowded), Some(s)) if !crowded && self.may.straight && self.may_repeat_at(now, place, s) => {
                 let from = if self.peers[s].role == Role::Parent { self.origin.unwrap_or(s) } else { s };
@@ -340,16 +316,6 @@
         }
     }
 
-    /// Exception to the ordinary path: a full link in feeds on itself, since fills that come too late are not kept
-    /// and are missed again. Fills have a limit of their own, learned like a cache's; from half of it on, an access
-    /// first asks the cache for what it holds, and is filled only on a miss and while there is room. Covers a slow
-    /// or crowded link, parent or origin, mass purges, cold zones, one-off objects; costs a round trip.
-    fn look_first(&self, place: usize) -> bool {
-        let h = &self.held[place];
-        let full = self.fills_out >= self.fill_limit * h.keen;
-        !h.looked && self.fills_out >= 0.5 * self.fill_limit || full && h.lacks
-    }
-
     /// Rule 2: while an earlier push may have run, an unrepeatable access goes nowhere, and a deduplicated one only
     /// within the group and the window of all of those.
     fn may_repeat_at(&self, now: Tenths, place: usize, cache: usize) -> bool {
@@ -539,9 +505,7 @@
     }
 
     fn after_look(&mut self, now: Tenths, place: usize, e: &Ended, out: &mut dyn Outlet) {
-        let full = self.fills_out >= self.fill_limit * self.held[place].keen;
         match e.outcome {
-            Outcome::Miss if full || !self.held[place].looked => self.finish(place, out),
             Outcome::Miss => self.route(now, place, out),
             _ => self.after_push(now, place, e, out),
         }
@@ -633,9 +597,8 @@
     }
 
     fn tidy(&mut self, place: usize) {
-        if let Some(h) =
-            self.held.get(place).filter(|h| h.done && h.sent.iter().all(|s| s.state != State::Out))
-        {
+        let ended = |h: &&Held| h.done && h.sent.iter().all(|s| s.state != State::Out);
+        if let Some(h) = self.held.get(place).filter(ended) {
             self.places.remove(&h.access.id);
             self.held.remove(place);
         }
@@ -673,27 +636,21 @@
     pub fn purged(&mut self, now: Tenths, object: Option<u64>, group: u64, ago: Tenths) {
         // One up: both times were rounded down, and the bound must never reach behind the purge.
         let at = (now + 1).saturating_sub(ago);
-        let entry = match object {
-            Some(object) => {
-                self.purge_order.push_back((at, object));
-                self.purged_objects.entry(object).or_insert(at)
-            }
-            None => self.purged_groups.entry(group).or_insert(at),
-        };
-        *entry = (*entry).max(at);
-        while let Some(&(at, object)) = self.purge_order.front().filter(|p| p.0 + self.purge_done + 10 < now)
-        {
-            self.purge_order.pop_front();
-            if self.purged_objects.get(&object) == Some(&at) {
-                self.purged_objects.remove(&object);
+        let key = (object.is_some(), object.unwrap_or(group));
+        let latest = self.purges.entry(key).or_insert(at);
+        *latest = (*latest).max(at);
+        self.purge_order.push_back((at, key));
+        while let Some((at, key)) = self.purge_order.pop_front_if(|p| p.0 + self.purge_done + 10 < now) {
+            if self.purges.get(&key) == Some(&at) {
+                self.purges.remove(&key);
             }
         }
     }
 
     /// The latest purge that may still leave older copies about; past `purge_done` and a tick they are gone.
     fn purged_at(&self, now: Tenths, a: &Access) -> Option<Tenths> {
-        let object = self.purged_objects.get(&a.object).copied();
-        object.max(self.purged_groups.get(&a.group).copied()).filter(|at| now <= at + self.purge_done + 10)
+        let at = self.purges.get(&(true, a.object)).max(self.purges.get(&(false, a.group))).copied();
+        at.filter(|at| now <= at + self.purge_done + 10)
     }
 
     // ---- health
@@ -722,7 +679,7 @@
                 let (mean, overdue) = (class.mean, sent.overdue);
                 for c in hops(to) {
                     let p = &mut self.peers[c];
-                    p.carries.count(now, mean);
+                    p.carries.count(now, RATE_OVER, mean);
                     if in_time && f64::from(p.out) >= 0.5 * p.limit {
                         p.limit += RAISE;
                     }
@@ -829,10 +786,9 @@
         let slot = usize::from(self.peers[c].role == Role::Parent);
         let set = if slot == 1 { &self.parents } else { &self.caches };
         let warm = |&&o: &&usize| self.peers[o].held_until <= now && self.cold_age(now, o).is_none();
-        let (rates, weights) = set
-            .iter()
-            .filter(warm)
-            .fold((0.0, 0.0), |(r, w), &o| (r + self.peers[o].carries.rate(now), w + self.peers[o].weight));
+        let (rates, weights) = set.iter().filter(warm).fold((0.0, 0.0), |(r, w), &o| {
+            (r + self.peers[o].carries.rate(now, RATE_OVER), w + self.peers[o].weight)
+        });
         if weights > 0.0 {
             self.usual[slot] = rates / weights;
         }
@@ -858,6 +814,8 @@
     }
 }
 
+/// A rate looks back some seconds: a few dozen pushes, yet short enough to follow a surge.
+const RATE_OVER: f64 = 40_000.0;
 const COLD_LEAK: f64 = 0.6;
 
 /// How long a member is left alone at first: some round trips and a reconnect; and at the most, so that one that
--- /dev/null
+++ b/src/fading.rs
@@ -0,0 +1,25 @@
+//! A sum that fades: exponentially for a rate, by a steady leak for a budget.
+
+use crate::face::Tenths;
+
+#[derive(Default)]
+pub struct Fading {
+    pub sum: f64,
+    pub at: Tenths,
+}
+
+impl Fading {
+    /// What came in per tenth, averaged over about the given time.
+    pub fn rate(&self, now: Tenths, over: f64) -> f64 {
+        self.sum * (-(now.saturating_sub(self.at) as f64) / over).exp() / over
+    }
+
+    pub fn count(&mut self, now: Tenths, over: f64, amount: f64) {
+        *self = Fading { sum: self.rate(now, over) * over + amount, at: now };
+    }
+
+    /// What has not leaked away yet.
+    pub fn left(&self, now: Tenths, leak: f64) -> f64 {
+        (self.sum - now.saturating_sub(self.at) as f64 * leak).max(0.0)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod control;
 pub mod face;
+mod fading;
 
 pub use control::Front;
 pub use face::*;
