--- a/src/control.rs
+++ b/src/control.rs
@@ -1,21 +1,22 @@
-//! Every decision of a front. How to call it: make a [`Front`] from the settings, hand it each input as it comes
-//! (`listed`, `access`, `ended`, `due`, `left`, `purged`, ...) with the time now; it answers through the `Outlet`.
-//! The interface types are in `face.rs`. One front knows only what was handed to it; nothing is shared.
+//! Every decision of a front. How to call it: make a [`Front`] from the settings, hand it each input as it
+//! comes (`listed`, `access`, `ended`, `due`, `left`, `purged`, ...) with the time now; it answers through
+//! the `Outlet`. The interface types are in `face.rs`. One front knows only what was handed to it; nothing is
+//! shared.
 //!
-//! Ordinary path (docs/design.md): the object hashes to a cache of the zone, a miss is filled from the object's
-//! first parent in a hash over all listed parents; copies no older than fresh time - ALPHA will do; once less than
-//! BETA of the fresh time is left since the last fill seen, the cache serves its copy and renews it behind.
-
-use std::collections::VecDeque;
-use std::hash::Hasher;
+//! Ordinary path (docs/design.md): the object hashes to a cache of the zone, a miss is filled from the
+//! object's first parent in a hash over all listed parents; copies no older than fresh time - ALPHA will do;
+//! once less than BETA of the fresh time is left since the last fill seen, the cache serves its copy and
+//! renews it behind.
 
 use arrayvec::ArrayVec;
 use fastrand::Rng;
-use rustc_hash::{FxHashMap, FxHasher};
+use rustc_hash::FxHashMap;
 use slab::Slab;
 
 use crate::face::*;
 use crate::fading::Fading;
+use crate::hash;
+use crate::oldest::OldestFirst;
 
 /// Pushes kept for one access; no settings seen allow more, and a ninth would seldom be in time.
 const MOST_PUSHES: usize = 8;
@@ -23,19 +24,13 @@
 /// What an access does next, left behind by each push: it is handed the push's result.
 type Next = fn(&mut Front, Tenths, usize, &Ended, &mut dyn Outlet);
 
-#[derive(Clone, Copy, PartialEq)]
-enum State {
-    Out,
-    Unrun,
-    MayHaveRun,
-}
-
 struct Sent {
     /// The cache and the source; the cache itself where nothing is to be filled.
     to: (usize, usize),
     at: Tenths,
     work: f64,
-    state: State,
+    /// How it ended; none while it is out.
+    ended: Option<Outcome>,
     overdue: bool,
     /// Expected to need a fill over the zone's link in.
     fill: bool,
@@ -44,6 +39,12 @@
     next: Next,
 }
 
+impl Sent {
+    fn unrun(&self) -> bool {
+        self.ended.is_some_and(Outcome::proves_unrun)
+    }
+}
+
 struct Held {
     access: Access,
     work: f64,
@@ -62,7 +63,6 @@
 /// What is remembered of one part of one object.
 struct Fill {
     at: Tenths,
-    queued: Tenths,
     seen: Tenths,
 }
 
@@ -133,11 +133,9 @@
     origin: Option<usize>,
     held: Slab<Held>,
     places: FxHashMap<AccessId, usize>,
-    fills: FxHashMap<(u64, u32), Fill>,
-    fill_order: VecDeque<(u64, u32)>,
+    fills: OldestFirst<(u64, u32), Fill>,
     /// When an object (true) or a group was purged.
-    purges: FxHashMap<(bool, u64), Tenths>,
-    purge_order: VecDeque<(Tenths, (bool, u64))>,
+    purges: OldestFirst<(bool, u64), Tenths>,
     /// What a warm cache, and a warm parent, of weight 1 carries for this front.
     usual: [f64; 2],
     /// Mean benefit for its work of an access.
@@ -148,13 +146,6 @@
     fills_out: f64,
 }
 
-fn mix(a: u64, b: u64) -> u64 {
-    let mut x = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 /// Both members that a push names, once each.
 fn hops((cache, source): (usize, usize)) -> impl Iterator<Item = usize> {
     std::iter::once(cache).chain(Some(source).filter(move |&s| s != cache))
@@ -189,10 +180,8 @@
             origin: None,
             held: Slab::new(),
             places: FxHashMap::default(),
-            fills: FxHashMap::default(),
-            fill_order: VecDeque::new(),
-            purges: FxHashMap::default(),
-            purge_order: VecDeque::new(),
+            fills: OldestFirst::by(|f| f.at),
+            purges: OldestFirst::by(|&at| at),
             usual: [0.0; 2],
             density: 0.0,
             spare_pushes: 10.0,
@@ -217,17 +206,14 @@
         }
         for m in members {
             let at = *self.by_id.entry(m.id.clone()).or_insert_with(|| {
-                let mut hasher = FxHasher::default();
-                hasher.write(m.id.as_bytes());
                 let role = match Some(m.kind) {
                     k if k == self.kinds[0] => Role::Parent,
                     k if k == self.kinds[1] => Role::Origin,
                     _ if m.zone == self.zone => Role::Cache,
                     _ => Role::Elsewhere,
                 };
-                let (id, hash, limit) = (m.id.clone(), hasher.finish(), self.start_limit);
-
-                self.peers.push(Peer { id, hash, role, limit, held_for: FIRST_HOLD, ..Peer::default() });
+                let (id, hash, limit) = (m.id.clone(), hash::text(&m.id), self.start_limit);
+                self.peers.push(Peer { id, hash, role, limit, held_for: Self::HOLDS[0], ..Peer::default() });
                 self.peers.len() - 1
             });
             let p = &mut self.peers[at];
@@ -292,11 +278,11 @@
             };
         }
         let source = self.pick_source(now, place, mean);
-        // Exception to the ordinary path: a full link in feeds on itself, since fills that come too late are not
-        // kept and are missed again. Fills have a limit of their own, learned like a cache's; from half of it on, an
-        // access first asks the cache for what it holds, and is filled only on a miss and while there is room. The
-        // same where no source can be named. Covers a slow or crowded link, parent or origin, mass purges, cold
-        // zones and one-off objects; costs a round trip.
+        // Exception to the ordinary path: a full link in feeds on itself, since fills that come too late are
+        // not kept and are missed again. Fills have a limit of their own, learned like a cache's; from half
+        // of it on, an access first asks the cache for what it holds, and is filled only on a miss and while
+        // there is room. The same where no source can be named. Covers a slow or crowded link, parent or
+        // origin, mass purges, cold zones and one-off objects; costs a round trip.
         let (limit, looked) = (self.fill_limit, self.held[place].looked);
         let (tight, full) = (self.fills_out >= 0.5 * limit, self.fills_out >= limit * self.held[place].keen);
         match (self.pick_cache(now, place, mean), source) {
@@ -316,12 +302,12 @@
         }
     }
 
-    /// Rule 2: while an earlier push may have run, an unrepeatable access goes nowhere, and a deduplicated one only
-    /// within the group and the window of all of those.
+    /// Rule 2: while an earlier push may have run, an unrepeatable access goes nowhere, and a deduplicated
+    /// one only within the group and the window of all of those.
     fn may_repeat_at(&self, now: Tenths, place: usize, cache: usize) -> bool {
         let h = &self.held[place];
         let effect = self.classes[h.access.offering].of.effect;
-        h.sent.iter().filter(|s| s.state != State::Unrun).all(|s| match effect {
+        h.sent.iter().filter(|s| !s.unrun()).all(|s| match effect {
             Effect::Idempotent => true,
             Effect::Unrepeatable => false,
             Effect::Deduplicated { within, window } => {
@@ -345,8 +331,7 @@
         for &c in set {
             let Some(rank) = rank(c) else { continue };
             let p = &self.peers[c];
-            let unit = ((mix(object, p.hash) >> 11) as f64 / (1u64 << 53) as f64).max(1e-18);
-            let draw = -unit.ln() / p.weight;
+            let draw = -hash::unit(object, p.hash).ln() / p.weight;
             if best.is_none_or(|b| (rank, draw) < (b.0, b.1)) {
                 best = Some((rank, draw, c));
             }
@@ -354,8 +339,8 @@
         best.map(|(rank, _, c)| (rank, c))
     }
 
-    /// The first cache in the object's order that is well, has room, and if cold stays within its budget. Where
-    /// there is none: whether a well one was merely crowded.
+    /// The first cache in the object's order that is well, has room, and if cold stays within its budget.
+    /// Where there is none: whether a well one was merely crowded.
     fn pick_cache(&self, now: Tenths, place: usize, mean: f64) -> Result<usize, bool> {
         let h = &self.held[place];
         let (mut all, mut weights) = (mean, 0.0);
@@ -376,18 +361,19 @@
             if !self.well(now, c) {
                 return Some(2);
             }
-            // Hashing with bounded loads: a cache whose unanswered work is well over its share of all is passed
-            // over. Covers slow and silent caches, hot objects and uneven hashing; costs second copies. A quarter
-            // over its share and two accesses: less spills too much, more leaves hot caches late.
+            // Hashing with bounded loads: a cache whose unanswered work is well over its share of all is
+            // passed over. Covers slow and silent caches, hot objects and uneven hashing; costs second
+            // copies. A quarter over its share and two accesses: less spills too much, more leaves hot caches
+            // late.
             let share = all * p.weight / f64::max(weights, p.weight);
             Some(u8::from(p.out_work + mean > 1.25 * share + 2.0 * mean))
         });
         best.map(|b| b.1).ok_or_else(|| self.caches.iter().any(|&c| self.well(now, c) && crowded(c)))
     }
 
-    /// The object's first parent in one hash over all listed parents, the same at every front; past it only where
-    /// that one is ill, failed this access, or is cold and over budget. Then the origin, which takes no more at a
-    /// time than it has answered in time, so that it outlives the loss of the parents.
+    /// The object's first parent in one hash over all listed parents, the same at every front; past it only
+    /// where that one is ill, failed this access, or is cold and over budget. Then the origin, which takes no
+    /// more at a time than it has answered in time, so that it outlives the loss of the parents.
     fn pick_source(&self, now: Tenths, place: usize, mean: f64) -> Option<usize> {
         let h = &self.held[place];
         let best = self.first(h.access.object, &self.parents, |c| match c {
@@ -414,8 +400,9 @@
             age = if age == 0 { since } else { age.min(since) };
         }
         if !uncacheable {
-            // Overdue: four tenths of the soft limit and half as much again as sending should take, stretched as
-            // this offering needs; before the soft limit, so that there is time left to do better elsewhere.
+            // Overdue: four tenths of the soft limit and half as much again as sending should take, stretched
+            // as this offering needs; before the soft limit, so that there is time left to do better
+            // elsewhere.
             let soft = class.of.soft as f64;
             let overdue = class.patience * (0.4 * soft + 1.5 * h.work);
             let overdue = overdue.min(0.9 * (soft + class.of.stretch * h.work)) as Tenths;
@@ -424,25 +411,25 @@
         let fill = to.0 != to.1 && !uncacheable && (h.looked || lacks);
         self.fills_out += f64::from(u8::from(fill));
         for c in hops(to) {
-            let leak = self.cold_budget(now, c).map_or(0.0, |b| COLD_LEAK * b);
+            let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b);
             let p = &mut self.peers[c];
             p.out += 1;
             p.out_work += work;
             p.spent = Fading { sum: p.spent.left(now, leak) + work, at: now };
         }
-        let state = State::Out;
-        let sent = Sent { to, at: now, work, state, overdue: false, fill, source_failed: false, next };
+        let sent = Sent { to, at: now, work, ended: None, overdue: false, fill, source_failed: false, next };
         self.held[place].sent.push(sent);
         let (cache, source) = (&*self.peers[to.0].id, &*self.peers[to.1].id);
         let (wait, join) = (a.until - self.margin - now, self.may.joins && !uncacheable);
         out.push(&Push { access: a.id, cache, source, wait, age, rank, join, renew });
     }
 
-    /// The design's estimate for this part: whether the zone's caches most likely lack it (never seen here, or not
-    /// for longer than copies are likely to be kept unused: a first guess, which looks and answers correct), at
-    /// which rank to keep it, and whether to renew it behind.
+    /// The design's estimate for this part: whether the zone's caches most likely lack it (never seen here,
+    /// or not for longer than copies are likely to be kept unused: a first guess, which looks and answers
+    /// correct), at which rank to keep it, and whether to renew it behind.
     fn remember(&mut self, now: Tenths, a: &Access) -> (bool, u8, bool) {
-        /// Retrieval threshold, a share of the fresh time: the cap, as caches renew only in a copy's last fifth.
+        /// Retrieval threshold, a share of the fresh time: the cap, as caches renew only in a copy's last
+        /// fifth.
         const BETA: f64 = 0.2;
         /// Some minutes of distinct parts at a front; a part that was dropped is taken for just filled.
         const MOST_FILLS: usize = 1 << 16;
@@ -461,18 +448,8 @@
             let seen = std::mem::replace(&mut fill.seen, now);
             return (seen + 150_000 < now, 2, fresh > 0 && (left as f64) < BETA * fresh as f64);
         }
-        while self.fills.len() >= MOST_FILLS {
-            let Some(oldest) = self.fill_order.pop_front() else { break };
-            match self.fills.get_mut(&oldest) {
-                Some(f) if f.at > f.queued => {
-                    f.queued = f.at;
-                    self.fill_order.push_back(oldest);
-                }
-                _ => drop(self.fills.remove(&oldest)),
-            }
-        }
-        self.fills.insert(key, Fill { at: now, queued: now, seen: now });
-        self.fill_order.push_back(key);
+        self.fills.shed(|count, _| count >= MOST_FILLS);
+        self.fills.put(key, Fill { at: now, seen: now });
         // One-off objects must not displace what is wanted again: a first sight is kept at the lowest rank.
         (true, 1, false)
     }
@@ -481,10 +458,10 @@
 
     pub fn ended(&mut self, now: Tenths, id: AccessId, e: &Ended, out: &mut dyn Outlet) {
         let Some(&place) = self.places.get(&id) else { return };
-        let Some(sent) = self.held[place].sent.get_mut(e.push).filter(|s| s.state == State::Out) else {
+        let Some(sent) = self.held[place].sent.get_mut(e.push).filter(|s| s.ended.is_none()) else {
             return;
         };
-        sent.state = if e.outcome.proves_unrun() { State::Unrun } else { State::MayHaveRun };
+        sent.ended = Some(e.outcome);
         let Sent { to, work, next, .. } = *sent;
         self.fills_out -= f64::from(u8::from(sent.fill));
         for c in hops(to) {
@@ -512,7 +489,7 @@
     }
 
     fn after_push(&mut self, now: Tenths, place: usize, e: &Ended, out: &mut dyn Outlet) {
-        if self.held[place].sent.iter().any(|s| s.state == State::Out) {
+        if self.held[place].sent.iter().any(|s| s.ended.is_none()) {
             return;
         }
         let cost = if e.outcome.proves_unrun() { 0.25 } else { 1.0 };
@@ -523,8 +500,8 @@
         self.route(now, place, out);
     }
 
-    /// A push is out longer than is usual: a mark against all it names; if one of them now stands out, the access
-    /// is sent past it.
+    /// A push is out longer than is usual: a mark against all it names; if one of them now stands out, the
+    /// access is sent past it.
     fn overdue(&mut self, now: Tenths, place: usize, number: usize, out: &mut dyn Outlet) {
         let h = &mut self.held[place];
         let (a, soft_at) = (h.access, h.soft_at);
@@ -536,20 +513,21 @@
             // A twentieth overdue keeps it where it is.
             class.patience = (class.patience * 1.02).min(2.0);
             self.peers[cache].hush += u32::from(self.peers[cache].answered < at);
-            // Three in a row with nothing back, while others answer: silence, and a sharper sign than lateness.
+            // Three in a row with nothing back, while others answer: silence, and a sharper sign than
+            // lateness.
             let others = self.caches.iter().any(|&c| c != cache && self.peers[c].answered > at);
             let silent = self.peers[cache].hush >= 3 && others;
-            self.mark(now, cache, if silent { 0.5 } else { MARK }, out);
+            self.mark(now, cache, if silent { 0.5 } else { Self::MARK }, out);
             if source != cache {
-                self.mark(now, source, MARK, out);
+                self.mark(now, source, Self::MARK, out);
             }
         }
         if now >= soft_at {
             if fill {
-                self.fill_limit = lower(self.fill_limit);
+                self.fill_limit = Self::lower(self.fill_limit);
             }
             for c in hops(to) {
-                self.peers[c].limit = lower(self.peers[c].limit);
+                self.peers[c].limit = Self::lower(self.peers[c].limit);
             }
         }
         let source_ill = source != cache && !self.well(now, source);
@@ -573,7 +551,7 @@
         h.done = true;
         let harmless = match self.classes[h.access.offering].of.effect {
             Effect::Idempotent | Effect::Deduplicated { within: Group::All, .. } => true,
-            _ => h.sent.iter().all(|s| s.state == State::Unrun),
+            _ => h.sent.iter().all(|s| s.unrun()),
         };
         if harmless {
             // Clients that heed it come back spread over the second half of what they would wait at most.
@@ -591,13 +569,13 @@
             h.sent
                 .iter()
                 .enumerate()
-                .filter(|(_, s)| s.state == State::Out)
+                .filter(|(_, s)| s.ended.is_none())
                 .for_each(|(n, _)| out.withdraw(h.access.id, n));
         }
     }
 
     fn tidy(&mut self, place: usize) {
-        let ended = |h: &&Held| h.done && h.sent.iter().all(|s| s.state != State::Out);
+        let ended = |h: &&Held| h.done && h.sent.iter().all(|s| s.ended.is_some());
         if let Some(h) = self.held.get(place).filter(ended) {
             self.places.remove(&h.access.id);
             self.held.remove(place);
@@ -610,7 +588,7 @@
         }
         let Some(&place) = self.places.get(&(key >> 4)) else { return };
         let (h, number) = (&self.held[place], (key & 15) as usize);
-        if !h.done && h.sent.get(number).is_some_and(|s| s.state == State::Out) {
+        if !h.done && h.sent.get(number).is_some_and(|s| s.ended.is_none()) {
             self.overdue(now, place, number, out);
         }
     }
@@ -637,14 +615,10 @@
         // One up: both times were rounded down, and the bound must never reach behind the purge.
         let at = (now + 1).saturating_sub(ago);
         let key = (object.is_some(), object.unwrap_or(group));
-        let latest = self.purges.entry(key).or_insert(at);
-        *latest = (*latest).max(at);
-        self.purge_order.push_back((at, key));
-        while let Some((at, key)) = self.purge_order.pop_front_if(|p| p.0 + self.purge_done + 10 < now) {
-            if self.purges.get(&key) == Some(&at) {
-                self.purges.remove(&key);
-            }
-        }
+        let latest = self.purges.get(&key).map_or(at, |&known| at.max(known));
+        self.purges.put(key, latest);
+        let gone = self.purge_done + 10;
+        self.purges.shed(|_, &at| at + gone < now);
     }
 
     /// The latest purge that may still leave older copies about; past `purge_done` and a tick they are gone.
@@ -655,6 +629,20 @@
 
     // ---- health
 
+    /// Weight of one push in a member's share of bad ones: the last dozen or two count.
+    const MARK: f64 = 1.0 / 16.0;
+    /// How long a member is left alone at first: some round trips and a reconnect; and at the most, so that
+    /// one that recovers is found within a few seconds.
+    const HOLDS: [Tenths; 2] = [5_000, 40_000];
+    /// Limits follow what is answered in time: a tenth of a push up for each answer in time while half the
+    /// limit is in use, a tenth down for each that passes its soft limit, and never below two, so that one
+    /// can always tell.
+    const RAISE: f64 = 0.1;
+
+    fn lower(limit: f64) -> f64 {
+        (limit * 0.9).max(2.0)
+    }
+
     fn judge(&mut self, now: Tenths, place: usize, to: (usize, usize), e: &Ended, out: &mut dyn Outlet) {
         let (cache, source) = to;
         let h = &mut self.held[place];
@@ -674,14 +662,14 @@
                     class.mean += (e.lag as f64 - class.mean) / 64.0;
                 }
                 if in_time && sent.fill && self.fills_out >= 0.5 * self.fill_limit {
-                    self.fill_limit += RAISE;
+                    self.fill_limit += Self::RAISE;
                 }
                 let (mean, overdue) = (class.mean, sent.overdue);
                 for c in hops(to) {
                     let p = &mut self.peers[c];
-                    p.carries.count(now, RATE_OVER, mean);
+                    p.carries.count(now, Self::RATE_OVER, mean);
                     if in_time && f64::from(p.out) >= 0.5 * p.limit {
-                        p.limit += RAISE;
+                        p.limit += Self::RAISE;
                     }
                 }
                 self.praise(now, cache);
@@ -690,7 +678,7 @@
                 } else if source != cache && overdue {
                     // It was a hit after all: the mark against the source is taken back.
                     let p = &mut self.peers[source];
-                    p.bad = ((p.bad - MARK) / (1.0 - MARK)).max(0.0);
+                    p.bad = ((p.bad - Self::MARK) / (1.0 - Self::MARK)).max(0.0);
                 }
             }
             Outcome::Withdrawn | Outcome::NeverSent | Outcome::TimedOut => {}
@@ -704,13 +692,13 @@
                 match e.note {
                     Note::SourceRefused | Note::SourceLost | Note::OriginFailed if source != cache => {
                         sent.source_failed = true;
-                        self.mark(now, source, 2.0 * MARK, out);
+                        self.mark(now, source, 2.0 * Self::MARK, out);
                     }
                     Note::SourceLacks | Note::NoFillPlace => {}
                     _ if e.outcome == Outcome::Error => {
-                        hops(to).for_each(|c| self.mark(now, c, 2.0 * MARK, out));
+                        hops(to).for_each(|c| self.mark(now, c, 2.0 * Self::MARK, out));
                     }
-                    _ if e.outcome == Outcome::Full => p.limit = lower(p.limit.min(f64::from(p.out))),
+                    _ if e.outcome == Outcome::Full => p.limit = Self::lower(p.limit.min(f64::from(p.out))),
                     _ => {}
                 }
             }
@@ -723,11 +711,12 @@
         p.held_until <= now && (p.trial == 0 || p.out == 0)
     }
 
-    /// A push naming this member went wrong, or is overdue. Which hop was at fault is seldom told, so every one
-    /// named is marked; the one at fault stands out from the others of its role, and is left alone for a while,
-    /// longer each time, then tried with one push at a time. Where all are equally bad the cause is shared (link,
-    /// origin, overload) and nobody is. Covers silent, slow, failing and lost members; a fast failer attracts
-    /// nothing, and a recovered one is found again. May hurt where half of a role is ill: they hide each other.
+    /// A push naming this member went wrong, or is overdue. Which hop was at fault is seldom told, so every
+    /// one named is marked; the one at fault stands out from the others of its role, and is left alone for a
+    /// while, longer each time, then tried with one push at a time. Where all are equally bad the cause is
+    /// shared (link, origin, overload) and nobody is. Covers silent, slow, failing and lost members; a fast
+    /// failer attracts nothing, and a recovered one is found again. May hurt where half of a role is ill:
+    /// they hide each other.
     fn mark(&mut self, now: Tenths, c: usize, weight: f64, out: &mut dyn Outlet) {
         self.peers[c].bad += (1.0 - self.peers[c].bad) * weight;
         let p = &self.peers[c];
@@ -737,9 +726,9 @@
         let set = if p.role == Role::Parent { &self.parents } else { &self.caches };
         let others = set.iter().filter(|&&o| o != c).count().max(1) as f64;
         let theirs = set.iter().filter(|&&o| o != c).map(|&o| self.peers[o].bad).sum::<f64>() / others;
-        // Well past twice the others' share: chance alone does not get there (four deviations at this weight). A
-        // silent parent shows only in the missed third of the pushes that name it, unless hits are told apart;
-        // then the hits do not dilute its marks, and it takes more of them.
+        // Well past twice the others' share: chance alone does not get there (four deviations at this
+        // weight). A silent parent shows only in the missed third of the pushes that name it, unless hits are
+        // told apart; then the hits do not dilute its marks, and it takes more of them.
         let told = p.role != Role::Cache && self.notes == Notes::All;
         if p.bad > if told { 0.32 } else { 0.16 } + 2.0 * theirs.max(0.08) {
             // Where hits can't be told from fills, a source proves itself only by several good answers.
@@ -747,14 +736,14 @@
             let p = &mut self.peers[c];
             out.log(format_args!("{:?} {} left alone for {} ms", p.role, p.id, p.held_for / 10));
             (p.held_until, p.held_for, p.trial) =
-                (now + p.held_for, (p.held_for * 2).min(LONGEST_HOLD), trial);
+                (now + p.held_for, (p.held_for * 2).min(Self::HOLDS[1]), trial);
         }
     }
 
     fn praise(&mut self, now: Tenths, c: usize) {
         let p = &mut self.peers[c];
         (p.answered, p.hush) = (now, 0);
-        p.bad *= 1.0 - MARK;
+        p.bad *= 1.0 - Self::MARK;
         if p.trial > 0 && p.held_until <= now {
             if std::mem::take(&mut p.lost) {
                 // It was unreachable and is back before the list says so: most likely a fresh start.
@@ -766,13 +755,19 @@
             }
         }
         if p.bad < 0.02 && p.trial == 0 {
-            p.held_for = FIRST_HOLD.max(p.held_for - p.held_for / 16);
+            p.held_for = Self::HOLDS[0].max(p.held_for - p.held_for / 16);
         }
         self.learn_usual(now, c);
     }
 
     // ---- cold starts
 
+    /// A rate looks back some seconds: a few dozen pushes, yet short enough to follow a surge.
+    const RATE_OVER: f64 = 40_000.0;
+    /// Six tenths of a cold member's budget leak away steadily, a tenth of a window's may come in a burst;
+    /// the rest is for what was misjudged.
+    const COLD_LEAK: f64 = 0.6;
+
     /// Which cold figures go for a member, and how far it has come since its start, if it is cold.
     fn cold_age(&self, now: Tenths, c: usize) -> Option<(usize, f64)> {
         let p = &self.peers[c];
@@ -787,16 +782,16 @@
         let set = if slot == 1 { &self.parents } else { &self.caches };
         let warm = |&&o: &&usize| self.peers[o].held_until <= now && self.cold_age(now, o).is_none();
         let (rates, weights) = set.iter().filter(warm).fold((0.0, 0.0), |(r, w), &o| {
-            (r + self.peers[o].carries.rate(now, RATE_OVER), w + self.peers[o].weight)
+            (r + self.peers[o].carries.rate(now, Self::RATE_OVER), w + self.peers[o].weight)
         });
         if weights > 0.0 {
             self.usual[slot] = rates / weights;
         }
     }
 
-    /// What this front may send a cold member at once, in transfers: `multiple` times its present share of what
-    /// such a member usually carries for this front. Needs no unit, no count of fronts and no capacity. At least a
-    /// tenth of a transfer, so that a front that has seen nothing yet can begin.
+    /// What this front may send a cold member at once, in transfers: `multiple` times its present share of
+    /// what such a member usually carries for this front. Needs no unit, no count of fronts and no capacity.
+    /// At least a tenth of a transfer, so that a front that has seen nothing yet can begin.
     fn cold_budget(&self, now: Tenths, c: usize) -> Option<f64> {
         let (slot, age) = self.cold_age(now, c)?;
         let set = &self.cold[slot];
@@ -804,32 +799,11 @@
         Some(set.multiple * (set.from + (1.0 - set.from) * age) * carries)
     }
 
-    /// Whether one more push of this mean sending time keeps a cold member within this front's part: six tenths of
-    /// the budget leak away steadily, a tenth of a window's may come in a burst; the rest is for what was misjudged.
+    /// Whether one more push of this mean sending time keeps a cold member within this front's part.
     fn cold_room(&self, now: Tenths, c: usize, work: f64) -> bool {
         let Some(budget) = self.cold_budget(now, c) else { return true };
         let window = self.cold[usize::from(self.peers[c].role == Role::Parent)].window as f64;
-        let level = self.peers[c].spent.left(now, COLD_LEAK * budget);
+        let level = self.peers[c].spent.left(now, Self::COLD_LEAK * budget);
         level == 0.0 || level + work <= 0.1 * budget * window
     }
 }
-
-/// A rate looks back some seconds: a few dozen pushes, yet short enough to follow a surge.
-const RATE_OVER: f64 = 40_000.0;
-const COLD_LEAK: f64 = 0.6;
-
-/// How long a member is left alone at first: some round trips and a reconnect; and at the most, so that one that
-/// recovers is found within a few seconds.
-const FIRST_HOLD: Tenths = 5_000;
-const LONGEST_HOLD: Tenths = 40_000;
-
-/// Weight of one push in a member's share of bad ones: the last dozen or two count.
-const MARK: f64 = 1.0 / 16.0;
-
-/// Limits follow what is answered in time: a tenth of a push up for each answer in time while half the limit is in
-/// use, a tenth down for each that passes its soft limit, and never below two, so that one can always tell.
-const RAISE: f64 = 0.1;
-
-fn lower(limit: f64) -> f64 {
-    (limit * 0.9).max(2.0)
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod control;
 pub mod face;
 mod fading;
+mod hash;
+mod oldest;
 
 pub use control::Front;
 pub use face::*;
