--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,280 @@
+//! The five rules in seeded random runs, and plain cases for what was met on the way.
+
+mod helper;
+
+use doorgrade::*;
+use helper::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn zone(caches: usize, parents: usize) -> Vec<Member> {
+    let mut list: Vec<_> = (0..caches).map(|i| member(&format!("cache-{i}"), 0, 0)).collect();
+    list.extend((0..parents).map(|i| member(&format!("parent-{i}"), 1, 1)));
+    list.push(member("elsewhere", 2, 0));
+    list.push(member("origin", 1, 2));
+    list
+}
+
+fn shape(r: &mut fastrand::Rng) -> Settings {
+    let groups = [Group::All, Group::Zone, Group::Cell];
+    let notes = [Notes::All, Notes::Hits, Notes::Never];
+    let mut set = settings();
+    set.may = Powers { joins: r.bool(), straight: r.bool(), cancels: r.bool(), second_copies: r.bool() };
+    set.notes = notes[r.usize(..3)];
+    set.crew = r.u32(1..4);
+    set.max_pushes = r.usize(1..9);
+    set.weights = r.bool();
+    set.advice = r.u64(..2) * 5_000;
+    set.flow_kb_per_s = f64::from(r.u8(..2)) * 5_000.0;
+    set.offerings[2].effect =
+        Effect::Deduplicated { within: groups[r.usize(..3)], window: r.u64(100..20_000) };
+    if r.u8(..4) == 0 {
+        (set.parent_kind, set.origin_kind) = (None, Some(2).filter(|_| r.bool()));
+    }
+    set
+}
+
+/// One run: anything may come in any order, as long as the wire could bring it.
+fn random_run(seed: u64) {
+    use Outcome::*;
+    let mut r = fastrand::Rng::with_seed(seed);
+    let set = shape(&mut r);
+    let mut members = zone(r.usize(..5), r.usize(..4));
+    for m in &mut members {
+        (m.cell, m.weight) = (r.u64(..2), f64::from(r.u8(1..5)));
+    }
+    members.retain(|m| m.kind != 1 || set.parent_kind.is_some());
+    members.retain(|m| m.kind != 2 || set.origin_kind.is_some());
+    let (mut world, mut front) = World::new(set, &members);
+    for id in 0..400 {
+        match r.u8(..12) {
+            0..=4 => world.access(&mut front, id, r.usize(..5), r.u64(..40)),
+            5..=8 => {
+                let out = |t: &Told| {
+                    let p = t.pushes.iter().position(|p| p.ended.is_none())?;
+                    Some((t.access.id, p))
+                };
+                let all: Vec<_> = world.told.values().filter_map(out).collect();
+                if let Some(&(id, push)) = r.choice(&all) {
+                    let ends =
+                        [Handled, Handled, Error, Full, Unreachable, Broken, Withdrawn, NeverSent, Miss];
+                    let notes = [Note::Untold, Note::Hit, Note::Filled, Note::SourceLost, Note::NoFillPlace];
+                    world.end(&mut front, id, push, ends[r.usize(..9)], notes[r.usize(..5)]);
+                }
+            }
+            9 => {
+                let m = r.usize(..members.len().max(1));
+                if let Some(m) = members.get_mut(m) {
+                    let standings = [Standing::Listed, Standing::Listed, Standing::Draining, Standing::Gone];
+                    m.standing = standings[r.usize(..4)];
+                    if r.bool() {
+                        m.started = Some(world.now);
+                    }
+                    let (one, all) = (vec![m.clone()], r.u8(..4) == 0);
+                    if all {
+                        // A whole list that leaves some out.
+                        let listed = |m: &&Member| m.standing == Standing::Listed;
+                        let list: Vec<_> = members.iter().filter(listed).cloned().collect();
+                        world.tell(&mut front, &list, true);
+                    } else {
+                        world.tell(&mut front, &one, false);
+                    }
+                }
+            }
+            10 => {
+                let object = Some(r.u64(..40)).filter(|_| r.bool());
+                world.purge(&mut front, object, r.u64(..4), r.u64(..300));
+            }
+            _ => {}
+        }
+        world.pass(&mut front, r.u64(1..600));
+    }
+    world.pass(&mut front, 30_000);
+    assert!(world.told.is_empty(), "an access was left over");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300, failure_persistence: None, rng_seed: RngSeed::Fixed(20), ..ProptestConfig::default()
+    })]
+    #[test]
+    fn rules_hold_in_random_runs(seed: u64) {
+        random_run(seed);
+    }
+}
+
+#[test]
+fn renews_behind_below_the_threshold_and_a_told_fill_restarts_the_estimate() {
+    let (mut world, mut front) = World::new(settings(), &zone(3, 2));
+    for (id, (wait, renew)) in [(0, false), (60_000, false), (5_000, true), (1_000, false)].iter().enumerate()
+    {
+        world.pass(&mut front, *wait);
+        let id = id as u64;
+        world.access(&mut front, id, 0, 9);
+        assert_eq!((world.last(id).renew, world.last(id).age), (*renew, 80_000), "access {id}");
+        let note = if id == 2 { Note::Filled } else { Note::Hit };
+        world.end(&mut front, id, 0, Outcome::Handled, note);
+    }
+}
+
+#[test]
+fn without_notes_the_first_access_after_expiry_counts_as_the_fill() {
+    let set = Settings { notes: Notes::Never, ..settings() };
+    let (mut world, mut front) = World::new(set, &zone(3, 2));
+    for (id, (wait, renew)) in [(0, false), (81_000, true), (10, false)].iter().enumerate() {
+        world.pass(&mut front, *wait);
+        world.access(&mut front, id as u64, 0, 9);
+        assert_eq!(world.last(id as u64).renew, *renew, "access {id}");
+        world.end(&mut front, id as u64, 0, Outcome::Handled, Note::Untold);
+    }
+}
+
+#[test]
+fn all_fronts_name_one_parent_for_an_object_and_a_second_sight_is_kept_higher() {
+    let (mut here, mut front) = World::new(settings(), &zone(3, 3));
+    let mut away = zone(3, 3);
+    away.iter_mut().filter(|m| m.kind == 0).for_each(|m| m.zone = 2 - m.zone);
+    let (mut there, mut other) = World::new(settings(), &away);
+    for object in 0..30 {
+        here.access(&mut front, object, 1, object);
+        there.access(&mut other, object, 1, object);
+        assert_eq!(here.last(object).source, there.last(object).source);
+        assert!(here.last(object).source.starts_with("parent"));
+        here.end(&mut front, object, 0, Outcome::Handled, Note::Filled);
+        here.access(&mut front, 100 + object, 1, object);
+        assert_eq!((here.last(object).rank, here.last(100 + object).rank), (1, 2));
+        here.end(&mut front, 100 + object, 0, Outcome::Handled, Note::Hit);
+        there.end(&mut other, object, 0, Outcome::Handled, Note::Filled);
+    }
+}
+
+#[test]
+fn a_purge_binds_at_once_and_never_becomes_any_age() {
+    let (mut world, mut front) = World::new(settings(), &zone(2, 2));
+    world.purge(&mut front, Some(5), 0, 0);
+    world.access(&mut front, 1, 1, 5);
+    assert_eq!(world.last(1).age, 1);
+    world.pass(&mut front, 400);
+    world.access(&mut front, 2, 0, 5);
+    assert!((398..=400).contains(&world.last(2).age));
+}
+
+/// A parent that answers nothing: the fills that name it grow overdue while all caches answer hits.
+#[test]
+fn a_silent_parent_is_told_from_its_caches_and_found_again() {
+    for notes in [Notes::All, Notes::Never] {
+        let (mut world, mut front) = World::new(Settings { notes, ..settings() }, &zone(3, 2));
+        let mut named = [0, 0, 0];
+        for id in 0..3_000 {
+            world.access(&mut front, id, 1, id % 97);
+            let phase = if id < 300 {
+                0
+            } else if id < 1_500 {
+                1
+            } else {
+                2
+            };
+            let (miss, dead) = (id % 3 == 0, phase == 1 && world.last(id).source == "parent-0");
+            named[phase as usize] += u32::from(id % 500 > 300 && world.last(id).source == "parent-0");
+            world.pass(&mut front, 200);
+            if !(miss && dead) && world.told.get(&id).is_some_and(|t| t.finals == 0) {
+                let note = if miss { Note::Filled } else { Note::Hit };
+                let push = world.told[&id].pushes.len() - 1;
+                world.end(&mut front, id, push, Outcome::Handled, note);
+            }
+        }
+        assert!(named[1] < 100, "{notes:?}: goes on naming a silent parent: {named:?}");
+        assert!(named[2] > 150, "{notes:?}: does not find it again: {named:?}");
+    }
+}
+
+/// What a cold cache is sent stays within its budget in every window, misses without a source included.
+#[test]
+fn a_cold_cache_is_sent_no_more_than_its_part() {
+    for flood in [false, true] {
+        let (mut world, mut front) = World::new(settings(), &zone(3, 2));
+        let mut times = Vec::new();
+        for id in 0..6_000 {
+            if id == 2_000 {
+                let mut back = member("cache-0", 0, 0);
+                back.started = Some(world.now);
+                let mut list = vec![back];
+                if flood {
+                    list.extend(zone(0, 2).into_iter().filter(|m| m.kind != 0));
+                    list[1..].iter_mut().for_each(|m| m.standing = Standing::Gone);
+                }
+                world.tell(&mut front, &list, false);
+            }
+            world.access(&mut front, id, 1, id);
+            world.pass(&mut front, 100);
+            for push in 0..6 {
+                let Some(t) = world.told.get(&id).filter(|t| t.finals == 0 && t.pushes.len() > push) else {
+                    break;
+                };
+                if id >= 2_000 && t.pushes[push].cache == "cache-0" {
+                    times.push(t.pushes[push].at);
+                }
+                let filled = t.pushes[push].cache != t.pushes[push].source;
+                let outcome = if filled { Outcome::Handled } else { Outcome::Miss };
+                world.end(&mut front, id, push, outcome, Note::Filled);
+            }
+        }
+        // The three caches share 6,000 accesses in 60 s: a warm one carries 67 in a window of 2 s, and the cold one
+        // may get three times its share of that, a fifth and rising.
+        let start = times[0];
+        for &t in &times {
+            let sent = times.iter().filter(|&&u| u >= t && u < t + 20_000).count() as f64;
+            let share = 0.2 + 0.8 * (t - start) as f64 / 160_000.0;
+            assert!(sent <= 67.0 * 3.0 * share.min(1.0) + 2.0, "{sent} at {} ms", (t - start) / 10);
+        }
+        assert!(times.len() > 20, "it is used at all");
+    }
+}
+
+/// Fills that come late fill the link: from then on caches are asked first, and what they lack is declined.
+#[test]
+fn a_full_link_in_is_left_to_hits() {
+    let (mut world, mut front) = World::new(settings(), &zone(3, 2));
+    for id in 0..400 {
+        world.access(&mut front, id, 1, 1_000 + id);
+        world.pass(&mut front, 100);
+    }
+    let told = world.told.values().filter(|t| t.finals == 0);
+    assert!(told.clone().count() < 100, "fills pile up: {}", told.count());
+    world.access(&mut front, 900, 1, 1_000);
+    if let Some(push) = world.told[&900].pushes.last() {
+        assert_eq!(push.cache, push.source, "a look first");
+        world.end(&mut front, 900, 0, Outcome::Miss, Note::Untold);
+        assert!(world.told[&900].finals == 1 && world.told[&900].declined);
+    }
+}
+
+#[test]
+fn no_cache_no_parent_or_nothing_at_all_still_gets_its_answer() {
+    for straight in [false, true] {
+        for (caches, parents, origin) in
+            [(0, 2, true), (0, 0, true), (1, 0, true), (1, 0, false), (0, 0, false)]
+        {
+            let mut set = settings();
+            set.may = Powers { joins: false, straight, cancels: false, second_copies: false };
+            let members: Vec<_> =
+                zone(caches, parents).into_iter().filter(|m| origin || m.kind != 2).collect();
+            let (mut world, mut front) = World::new(set, &members);
+            world.access(&mut front, 1, 1, 1);
+            let served = caches > 0 || (straight && (parents > 0 || origin));
+            assert_eq!(world.told[&1].pushes.len(), usize::from(served));
+            assert_eq!(world.told[&1].declined, !served);
+            world.access(&mut front, 2, 3, 1);
+            assert_eq!(world.told[&2].pushes.len(), usize::from(origin && (straight || caches > 0)));
+        }
+    }
+}
+
+#[test]
+fn a_refused_list_call_is_made_again() {
+    let set = Settings { list_on_request: true, ..settings() };
+    let (mut world, mut front) = World::new(set, &zone(1, 1));
+    front.list_refused(world.now, &mut world);
+    world.pass(&mut front, 30_000);
+    assert_eq!(world.follows, 2);
+}
