--- a/src/control.rs
+++ b/src/control.rs
@@ -695,10 +695,13 @@
                         self.mark(now, source, 2.0 * Self::MARK, out);
                     }
                     Note::SourceLacks | Note::NoFillPlace => {}
-                    _ if e.outcome == Outcome::Error => {
+                    // A refusal may be the source's, too, where that isn't told and one was named.
+                    _ if e.outcome == Outcome::Error
+                        || e.outcome == Outcome::Full && source != cache && self.notes != Notes::All =>
+                    {
                         hops(to).for_each(|c| self.mark(now, c, 2.0 * Self::MARK, out));
                     }
-                    _ if e.outcome == Outcome::Full => p.limit = Self::lower(p.limit.min(f64::from(p.out))),
+                    _ if e.outcome == Outcome::Full => p.limit = Self::lower(p.limit),
                     _ => {}
                 }
             }
