--- a/src/control.rs
+++ b/src/control.rs
@@ -372,14 +372,15 @@
     }
 
     /// The object's first parent in one hash over all listed parents, the same at every front; past it only
-    /// where that one is ill, failed this access, or is cold and over budget. Then the origin, which takes no
-    /// more at a time than it has answered in time, so that it outlives the loss of the parents.
+    /// where that one is ill, failed this access, is cold and over budget, or has more out than it answers in
+    /// time. Then the origin, within its own limit, so that it outlives the loss of the parents.
     fn pick_source(&self, now: Tenths, place: usize, mean: f64) -> Option<usize> {
         let h = &self.held[place];
         let best = self.first(h.access.object, &self.parents, |c| match c {
             _ if !self.cold_room(now, c, mean) => None,
             _ if h.sent.iter().any(|s| s.to.0 == c || s.to.1 == c) => Some(3),
-            _ => Some(if self.well(now, c) { 0 } else { 2 }),
+            _ if !self.well(now, c) => Some(2),
+            _ => Some(u8::from(f64::from(self.peers[c].out) >= self.peers[c].limit)),
         });
         let fits = |&o: &usize| self.well(now, o) && f64::from(self.peers[o].out) < self.peers[o].limit;
         best.filter(|b| b.0 == 0).map(|b| b.1).or(self.origin.filter(fits)).or(best.map(|b| b.1))
