--- a/src/control.rs
+++ b/src/control.rs
@@ -525,7 +525,9 @@
         }
         if now >= soft_at {
             if fill {
-                self.fill_limit = Self::lower(self.fill_limit);
+                // Four at least, so that a zone that lost all it kept can still tell when fills are quick
+                // again.
+                self.fill_limit = Self::lower(self.fill_limit).max(4.0);
             }
             for c in hops(to) {
                 self.peers[c].limit = Self::lower(self.peers[c].limit);
