--- a/src/control.rs
+++ b/src/control.rs
@@ -525,8 +525,7 @@
         }
         if now >= soft_at {
             if fill {
-                // Four at least, so that a zone that lost all it kept can still tell when fills are quick
-                // again.
+                // Four at least, so that a zone that lost its copies can tell when fills are quick.
                 self.fill_limit = Self::lower(self.fill_limit).max(4.0);
             }
             for c in hops(to) {
@@ -768,7 +767,7 @@
 
     // ---- cold starts
 
-    /// A rate looks back some seconds: a few dozen pushes, yet short enough to follow a surge.
+    /// Some seconds: a few dozen pushes, yet short enough to follow a surge.
     const RATE_OVER: f64 = 40_000.0;
     /// Six tenths of a cold member's budget leak away steadily, a tenth of a window's may come in a burst;
     /// the rest is for what was misjudged.
