--- a/src/control.rs
+++ b/src/control.rs
@@ -293,8 +293,9 @@
             (Ok(cache), Some(source)) if !(looked && full) => {
                 self.push(now, place, (cache, source), Self::after_push, out)
             }
-            // No cache of the zone is well, or all are cold: straight to the source, where that is allowed.
-            (Err(crowded), Some(s)) if !crowded && self.may.straight && self.may_repeat_at(now, place, s) => {
+            // No cache of the zone is well, or all are cold: straight to the source where that is allowed,
+            // over the same link in and so within the same limits.
+            (Err(false), Some(s)) if self.may.straight && !full && self.may_repeat_at(now, place, s) => {
                 let from = if self.peers[s].role == Role::Parent { self.origin.unwrap_or(s) } else { s };
                 self.push(now, place, (s, from), Self::after_push, out)
             }
@@ -327,16 +328,9 @@
     /// Of these members the one of lowest rank, and in a rank the first in the object's order: a weighted
     /// rendezvous, so that a change of the list moves only what it must.
     fn first(&self, object: u64, set: &[usize], rank: impl Fn(usize) -> Option<u8>) -> Option<(u8, usize)> {
-        let mut best: Option<(u8, f64, usize)> = None;
-        for &c in set {
-            let Some(rank) = rank(c) else { continue };
-            let p = &self.peers[c];
-            let draw = -hash::unit(object, p.hash).ln() / p.weight;
-            if best.is_none_or(|b| (rank, draw) < (b.0, b.1)) {
-                best = Some((rank, draw, c));
-            }
-        }
-        best.map(|(rank, _, c)| (rank, c))
+        let draw = |c: usize| -hash::unit(object, self.peers[c].hash).ln() / self.peers[c].weight;
+        let ranked = set.iter().filter_map(|&c| Some((rank(c)?, draw(c), c)));
+        ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(rank, _, c)| (rank, c))
     }
 
     /// The first cache in the object's order that is well, has room, and if cold stays within its budget.
@@ -409,7 +403,8 @@
             let overdue = overdue.min(0.9 * (soft + class.of.stretch * h.work)) as Tenths;
             out.wake(now + overdue, a.id << 4 | h.sent.len() as u64);
         }
-        let fill = to.0 != to.1 && !uncacheable && (h.looked || lacks);
+        let straight = self.peers[to.0].role != Role::Cache;
+        let fill = !uncacheable && (straight || to.0 != to.1 && (h.looked || lacks));
         self.fills_out += f64::from(u8::from(fill));
         for c in hops(to) {
             let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b);
@@ -739,6 +734,11 @@
             // Where hits can't be told from fills, a source proves itself only by several good answers.
             let trial = if p.role == Role::Cache || told { 1 } else { 6 };
             let p = &mut self.peers[c];
+            if p.lost {
+                // Unreachable: when it is found again it has most likely just started, whatever the list
+                // says.
+                p.started = p.started.max(Some(now + p.held_for));
+            }
             out.log(format_args!("{:?} {} left alone for {} ms", p.role, p.id, p.held_for / 10));
             (p.held_until, p.held_for, p.trial) =
                 (now + p.held_for, (p.held_for * 2).min(Self::HOLDS[1]), trial);
@@ -750,10 +750,7 @@
         (p.answered, p.hush) = (now, 0);
         p.bad *= 1.0 - Self::MARK;
         if p.trial > 0 && p.held_until <= now {
-            if std::mem::take(&mut p.lost) {
-                // It was unreachable and is back before the list says so: most likely a fresh start.
-                (p.started, p.spent) = (p.started.max(Some(now)), Fading::default());
-            }
+            p.lost = false;
             p.trial -= 1;
             if p.trial == 0 {
                 p.bad = 0.0;
