--- a/src/control.rs
+++ b/src/control.rs
@@ -76,11 +76,10 @@
 
 #[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
 enum Role {
+    #[default]
     Cache,
     Parent,
     Origin,
-    #[default]
-    Elsewhere,
 }
 
 #[derive(Default)]
@@ -205,13 +204,13 @@
             self.peers.iter_mut().for_each(|p| p.gone = true);
         }
         for m in members {
+            let role = match Some(m.kind) {
+                k if k == self.kinds[0] => Role::Parent,
+                k if k == self.kinds[1] => Role::Origin,
+                _ if m.zone == self.zone => Role::Cache,
+                _ => continue,
+            };
             let at = *self.by_id.entry(m.id.clone()).or_insert_with(|| {
-                let role = match Some(m.kind) {
-                    k if k == self.kinds[0] => Role::Parent,
-                    k if k == self.kinds[1] => Role::Origin,
-                    _ if m.zone == self.zone => Role::Cache,
-                    _ => Role::Elsewhere,
-                };
                 let (id, hash, limit) = (m.id.clone(), hash::text(&m.id), self.start_limit);
                 self.peers.push(Peer { id, hash, role, limit, held_for: Self::HOLDS[0], ..Peer::default() });
                 self.peers.len() - 1
@@ -316,9 +315,7 @@
                 let known = match within {
                     Group::All => true,
                     Group::Zone => a.zone == b.zone,
-                    Group::Cell => {
-                        s.to.0 == cache || (a.cell == b.cell && a.role == b.role && a.zone == b.zone)
-                    }
+                    Group::Cell => (a.zone, a.cell, a.role) == (b.zone, b.cell, b.role),
                 };
                 known && now < s.at + window
             }
@@ -465,6 +462,9 @@
             p.out -= 1;
             p.out_work = (p.out_work - work).max(0.0);
         }
+        if matches!(e.outcome, Outcome::Handled | Outcome::Error | Outcome::Full | Outcome::Miss) {
+            self.heard(now, to.0);
+        }
         self.judge(now, place, to, e, out);
         let h = &mut self.held[place];
         if e.settled && !h.done {
@@ -506,7 +506,6 @@
         let (cache, source) = to;
         let class = &mut self.classes[a.offering];
         if !std::mem::replace(&mut h.sent[number].overdue, true) {
-            // A twentieth overdue keeps it where it is.
             class.patience = (class.patience * 1.02).min(2.0);
             self.peers[cache].hush += u32::from(self.peers[cache].answered < at);
             // Three in a row with nothing back, while others answer: silence, and a sharper sign than
@@ -563,11 +562,8 @@
     fn withdraw_rest(&mut self, place: usize, out: &mut dyn Outlet) {
         let h = &self.held[place];
         if self.may.cancels && self.classes[h.access.offering].of.effect == Effect::Idempotent {
-            h.sent
-                .iter()
-                .enumerate()
-                .filter(|(_, s)| s.ended.is_none())
-                .for_each(|(n, _)| out.withdraw(h.access.id, n));
+            let out_still = (0..h.sent.len()).filter(|&n| h.sent[n].ended.is_none());
+            out_still.for_each(|n| out.withdraw(h.access.id, n));
         }
     }
 
@@ -614,8 +610,7 @@
         let key = (object.is_some(), object.unwrap_or(group));
         let latest = self.purges.get(&key).map_or(at, |&known| at.max(known));
         self.purges.put(key, latest);
-        let gone = self.purge_done + 10;
-        self.purges.shed(|_, &at| at + gone < now);
+        self.purges.shed(|_, &at| at + self.purge_done + 10 < now);
     }
 
     /// The latest purge that may still leave older copies about; past `purge_done` and a tick they are gone.
@@ -685,7 +680,6 @@
             }
             Outcome::Error | Outcome::Full | Outcome::Miss => {
                 let p = &mut self.peers[cache];
-                (p.answered, p.hush) = (now, 0);
                 match e.note {
                     Note::SourceRefused | Note::SourceLost | Note::OriginFailed if source != cache => {
                         sent.source_failed = true;
@@ -745,9 +739,19 @@
         }
     }
 
-    fn praise(&mut self, now: Tenths, c: usize) {
+    /// Answers again. After a silence of a second and more it is taken for just started, whatever the list
+    /// says: a zone that comes back cold must not be asked for all at once. Costs one that only hung a slow
+    /// return.
+    fn heard(&mut self, now: Tenths, c: usize) {
         let p = &mut self.peers[c];
+        if p.hush >= 3 && p.answered + 10_000 < now {
+            (p.started, p.spent, p.limit) = (p.started.max(Some(now)), Fading::default(), self.start_limit);
+        }
         (p.answered, p.hush) = (now, 0);
+    }
+
+    fn praise(&mut self, now: Tenths, c: usize) {
+        let p = &mut self.peers[c];
         p.bad *= 1.0 - Self::MARK;
         if p.trial > 0 && p.held_until <= now {
             p.lost = false;
