--- a/src/control.rs
+++ b/src/control.rs
@@ -247,9 +247,9 @@
         let soft_at = now + class.of.soft + (class.of.stretch * work) as Tenths;
         let density = class.of.benefit / work.max(1.0);
         self.density += (density - self.density) * if self.density == 0.0 { 1.0 } else { 1.0 / 64.0 };
-        // From six tenths of a limit for the least benefit to five quarters for the most: under overload the
-        // lowest benefit for its work goes first, and no offering is shut out.
-        let keen = (0.6 + 0.4 * density / self.density).min(1.25);
+        // From half a limit for the least benefit to one and a half for the most: under overload the lowest
+        // benefit for its work goes first, and no offering is shut out.
+        let keen = (0.5 + 0.5 * density / self.density).min(1.5);
         // Further pushes are paid from a fund that grows with the accesses, so that a shared trouble can't
         // multiply the load: a fifth of an access for each, saved up for twenty at most.
         self.spare_pushes = (self.spare_pushes + 0.2).min(20.0);
@@ -439,7 +439,7 @@
                 fill.at = now;
             }
             let seen = std::mem::replace(&mut fill.seen, now);
-            return (seen + 150_000 < now, 2, fresh > 0 && (left as f64) < BETA * fresh as f64);
+            return (seen + 50_000 < now, 2, fresh > 0 && (left as f64) < BETA * fresh as f64);
         }
         self.fills.shed(|count, _| count >= MOST_FILLS);
         self.fills.put(key, Fill { at: now, seen: now });
@@ -625,7 +625,7 @@
     const MARK: f64 = 1.0 / 16.0;
     /// How long a member is left alone at first: some round trips and a reconnect; and at the most, so that
     /// one that recovers is found within a few seconds.
-    const HOLDS: [Tenths; 2] = [5_000, 40_000];
+    const HOLDS: [Tenths; 2] = [2_500, 10_000];
     /// Limits follow what is answered in time: a tenth of a push up for each answer in time while half the
     /// limit is in use, a tenth down for each that passes its soft limit, and never below two, so that one
     /// can always tell.
