--- a/src/control.rs
+++ b/src/control.rs
@@ -3,10 +3,9 @@
 //! the `Outlet`. The interface types are in `face.rs`. One front knows only what was handed to it; nothing is
 //! shared.
 //!
-//! Ordinary path (docs/design.md): the object hashes to a cache of the zone, a miss is filled from the
-//! object's first parent in a hash over all listed parents; copies no older than fresh time - ALPHA will do;
-//! once less than BETA of the fresh time is left since the last fill seen, the cache serves its copy and
-//! renews it behind.
+//! Ordinary path (docs/design.md): the object hashes to a cache of the zone, a miss is filled from its first
+//! parent in a hash over all listed parents; copies no older than fresh time - ALPHA will do; below BETA of
+//! the fresh time since the last fill seen, the cache serves its copy and renews it behind.
 
 use arrayvec::ArrayVec;
 use fastrand::Rng;
@@ -110,6 +109,13 @@
     spent: Fading,
 }
 
+impl Peer {
+    fn let_go(&mut self, work: f64) {
+        self.out -= u32::from(work > 0.0);
+        self.out_work = (self.out_work - work).max(0.0);
+    }
+}
+
 pub struct Front {
     classes: Vec<Class>,
     zone: usize,
@@ -377,12 +383,11 @@
         best.filter(|b| b.0 == 0).map(|b| b.1).or(self.origin.filter(fits)).or(best.map(|b| b.1))
     }
 
-    /// One push, to a cache and naming a source.
     fn push(&mut self, now: Tenths, place: usize, to: (usize, usize), next: Next, out: &mut dyn Outlet) {
         let h = &self.held[place];
         let Held { access: a, lacks, rank, renew, .. } = *h;
         let class = &self.classes[a.offering];
-        let (work, uncacheable) = (class.mean, class.of.uncacheable);
+        let (work, uncacheable) = (class.mean.max(1.0), class.of.uncacheable);
         /// Freshness threshold: the paper's basic case.
         const ALPHA: Tenths = 0;
         let mut age = class.of.fresh.saturating_sub(ALPHA);
@@ -457,11 +462,7 @@
         sent.ended = Some(e.outcome);
         let Sent { to, work, next, .. } = *sent;
         self.fills_out -= f64::from(u8::from(sent.fill));
-        for c in hops(to) {
-            let p = &mut self.peers[c];
-            p.out -= 1;
-            p.out_work = (p.out_work - work).max(0.0);
-        }
+        hops(to).for_each(|c| self.peers[c].let_go(work));
         if matches!(e.outcome, Outcome::Handled | Outcome::Error | Outcome::Full | Outcome::Miss) {
             self.heard(now, to.0);
         }
@@ -502,8 +503,7 @@
         let h = &mut self.held[place];
         let (a, soft_at) = (h.access, h.soft_at);
         let last = h.sent.len() == number + 1;
-        let Sent { to, at, fill, .. } = h.sent[number];
-        let (cache, source) = to;
+        let Sent { to: to @ (cache, source), at, fill, .. } = h.sent[number];
         let class = &mut self.classes[a.offering];
         if !std::mem::replace(&mut h.sent[number].overdue, true) {
             class.patience = (class.patience * 1.02).min(2.0);
@@ -512,18 +512,22 @@
             // lateness.
             let others = self.caches.iter().any(|&c| c != cache && self.peers[c].answered > at);
             let silent = self.peers[cache].hush >= 3 && others;
-            self.mark(now, cache, if silent { 0.5 } else { Self::MARK }, out);
-            if source != cache {
-                self.mark(now, source, Self::MARK, out);
-            }
+            let weight = |c: usize| if silent && c == cache { 0.5 } else { Self::MARK };
+            hops(to).for_each(|c| self.mark(now, c, weight(c), out));
         }
         if now >= soft_at {
             if fill {
                 // Four at least, so that a zone that lost its copies can tell when fills are quick.
                 self.fill_limit = Self::lower(self.fill_limit).max(4.0);
             }
+            // Lost while others are answered: under a limit of five, which a few of these would fill, it no
+            // longer holds a place.
+            let p = &self.peers[cache];
+            let lost = p.limit < 5.0 && p.answered > at;
+            let work = if lost { std::mem::take(&mut self.held[place].sent[number].work) } else { 0.0 };
             for c in hops(to) {
                 self.peers[c].limit = Self::lower(self.peers[c].limit);
+                self.peers[c].let_go(work);
             }
         }
         let source_ill = source != cache && !self.well(now, source);
@@ -602,8 +606,6 @@
         }
     }
 
-    // ---- purges
-
     pub fn purged(&mut self, now: Tenths, object: Option<u64>, group: u64, ago: Tenths) {
         // One up: both times were rounded down, and the bound must never reach behind the purge.
         let at = (now + 1).saturating_sub(ago);
@@ -756,9 +758,7 @@
         if p.trial > 0 && p.held_until <= now {
             p.lost = false;
             p.trial -= 1;
-            if p.trial == 0 {
-                p.bad = 0.0;
-            }
+            p.bad = if p.trial == 0 { 0.0 } else { p.bad };
         }
         if p.bad < 0.02 && p.trial == 0 {
             p.held_for = Self::HOLDS[0].max(p.held_for - p.held_for / 16);
