--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -250,6 +250,25 @@
     assert!((2..=20).contains(&asked), "a third of 200 accesses, and fills of what they miss: {asked}");
 }
 
+/// A share of all pushes is lost on the way while the cache answers the rest at once.
+#[test]
+fn lost_pushes_do_not_use_up_a_cache() {
+    let mut set = settings();
+    set.may.cancels = false;
+    let (mut world, mut front) = World::new(set, &zone(1, 1));
+    let mut declined = 0;
+    for id in 0..3_000 {
+        world.access(&mut front, id, 1, id % 20);
+        world.pass(&mut front, 600);
+        let open = world.told.get(&id).filter(|t| t.finals == 0);
+        declined += u32::from(open.is_none() && id >= 1_000);
+        if let Some(push) = open.filter(|_| id % 4 != 0).map(|t| t.pushes.len() - 1) {
+            world.end(&mut front, id, push, Outcome::Handled, Note::Hit);
+        }
+    }
+    assert!(declined < 600, "{declined} of 2000 declined");
+}
+
 /// What a cold cache is sent stays within its budget in every window, misses without a source included.
 #[test]
 fn a_cold_cache_is_sent_no_more_than_its_part() {
