--- a/src/control.rs
+++ b/src/control.rs
@@ -13,7 +13,7 @@
 use slab::Slab;
 
 use crate::face::*;
-use crate::fading::Fading;
+use crate::fading::{Fading, Level};
 use crate::hash;
 use crate::oldest::OldestFirst;
 
@@ -148,7 +148,8 @@
     spare_pushes: f64,
     start_limit: f64,
     fill_limit: f64,
-    fills_out: f64,
+    filling: Level,
+    crew: f64,
 }
 
 /// Both members that a push names, once each.
@@ -161,7 +162,7 @@
         // Until answers tell: half the soft limit, so that first estimates err on the long side.
         let class = |o: &Offering| Class { of: o.clone(), mean: o.soft as f64 / 2.0, patience: 1.0 };
         // A guess that the answers soon correct: a score of pushes out at one cache, from all of its fronts.
-        let start_limit = 20.0 / f64::from(s.crew);
+        let start_limit = (20.0 / f64::from(s.crew)).max(4.0);
         Front {
             classes: s.offerings.iter().map(class).collect(),
             zone: s.zone,
@@ -191,8 +192,9 @@
             density: 0.0,
             spare_pushes: 10.0,
             start_limit,
-            fill_limit: 2.0 * start_limit,
-            fills_out: 0.0,
+            fill_limit: 40.0 / f64::from(s.crew),
+            filling: Level::default(),
+            crew: f64::from(s.crew),
         }
     }
 
@@ -289,7 +291,8 @@
         // there is room. The same where no source can be named. Covers a slow or crowded link, parent or
         // origin, mass purges, cold zones and one-off objects; costs a round trip.
         let (limit, looked) = (self.fill_limit, self.held[place].looked);
-        let (tight, full) = (self.fills_out >= 0.5 * limit, self.fills_out >= limit * self.held[place].keen);
+        let filling = self.filling.mean(now, self.over());
+        let (tight, full) = (filling >= 0.5 * limit, filling >= limit * self.held[place].keen);
         match (self.pick_cache(now, place, mean), source) {
             (Ok(cache), source) if !looked && (tight || source.is_none()) => {
                 self.held[place].looked = true;
@@ -346,7 +349,7 @@
             weights += p.weight;
         }
         // Overload: what can't be answered in time is turned down before it takes up what could be.
-        let crowded = |c: usize| f64::from(self.peers[c].out) >= self.peers[c].limit * h.keen;
+        let crowded = |c: usize| f64::from(self.peers[c].out) >= (self.peers[c].limit * h.keen).max(2.0);
         let best = self.first(h.access.object, &self.caches, |c| {
             if crowded(c) || !self.may_repeat_at(now, place, c) || !self.cold_room(now, c, mean) {
                 return None;
@@ -407,7 +410,7 @@
         }
         let straight = self.peers[to.0].role != Role::Cache;
         let fill = !uncacheable && (straight || to.0 != to.1 && (h.looked || lacks));
-        self.fills_out += f64::from(u8::from(fill));
+        self.filling.add(now, self.over(), f64::from(u8::from(fill)));
         for c in hops(to) {
             let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b);
             let p = &mut self.peers[c];
@@ -461,7 +464,8 @@
         };
         sent.ended = Some(e.outcome);
         let Sent { to, work, next, .. } = *sent;
-        self.fills_out -= f64::from(u8::from(sent.fill));
+        let fill = f64::from(u8::from(sent.fill));
+        self.filling.add(now, self.over(), -fill);
         hops(to).for_each(|c| self.peers[c].let_go(work));
         if matches!(e.outcome, Outcome::Handled | Outcome::Error | Outcome::Full | Outcome::Miss) {
             self.heard(now, to.0);
@@ -518,7 +522,7 @@
         if now >= soft_at {
             if fill {
                 // Four at least, so that a zone that lost its copies can tell when fills are quick.
-                self.fill_limit = Self::lower(self.fill_limit).max(4.0);
+                self.fill_limit = (self.fill_limit * 0.9).max(4.0 / self.crew);
             }
             // Lost while others are answered: under a limit of five, which a few of these would fill, it no
             // longer holds a place.
@@ -633,12 +637,17 @@
     /// can always tell.
     const RAISE: f64 = 0.1;
 
+    fn over(&self) -> f64 {
+        500.0 * (self.crew - 1.0)
+    }
+
     fn lower(limit: f64) -> f64 {
         (limit * 0.9).max(2.0)
     }
 
     fn judge(&mut self, now: Tenths, place: usize, to: (usize, usize), e: &Ended, out: &mut dyn Outlet) {
         let (cache, source) = to;
+        let over = self.over();
         let h = &mut self.held[place];
         let (a, sent) = (h.access, &mut h.sent[e.push]);
         match e.outcome {
@@ -655,8 +664,8 @@
                 if a.kb == 0.0 || self.flow == 0.0 {
                     class.mean += (e.lag as f64 - class.mean) / 64.0;
                 }
-                if in_time && sent.fill && self.fills_out >= 0.5 * self.fill_limit {
-                    self.fill_limit += Self::RAISE;
+                if in_time && sent.fill && self.filling.mean(now, over) >= 0.5 * self.fill_limit {
+                    self.fill_limit *= 1.025;
                 }
                 let (mean, overdue) = (class.mean, sent.overdue);
                 for c in hops(to) {
--- a/src/fading.rs
+++ b/src/fading.rs
@@ -1,4 +1,4 @@
-//! A sum that fades: exponentially for a rate, by a steady leak for a budget.
+//! A sum that fades: exponentially for a rate, by a steady leak for a budget; and a count averaged over time.
 
 use crate::face::Tenths;
 
@@ -23,3 +23,23 @@
         (self.sum - now.saturating_sub(self.at) as f64 * leak).max(0.0)
     }
 }
+
+/// How many there are, and how many there were on average.
+#[derive(Default)]
+pub struct Level {
+    pub count: f64,
+    mean: f64,
+    at: Tenths,
+}
+
+impl Level {
+    /// The average over about the given time.
+    pub fn mean(&self, now: Tenths, over: f64) -> f64 {
+        let old = (-(now.saturating_sub(self.at) as f64) / over.max(1.0)).exp();
+        self.count + (self.mean - self.count) * old
+    }
+
+    pub fn add(&mut self, now: Tenths, over: f64, change: f64) {
+        *self = Level { mean: self.mean(now, over), count: self.count + change, at: now };
+    }
+}
