Fill limits as a part of the zone's, members judged by the better half of their likes

Change: fills in the air are averaged over 50 ms for each further front of the zone, limits, floors and rises are the zone's over its fronts; late fills that name a member that stands out don't lower the limit; members are compared with the better half of their likes that answered within 2 s, parents with the origin too. Unreachable counts as three unanswered (one guard fewer).

--- a/src/control.rs
+++ b/src/control.rs
@@ -38,12 +38,6 @@
     next: Next,
 }
 
-impl Sent {
-    fn unrun(&self) -> bool {
-        self.ended.is_some_and(Outcome::proves_unrun)
-    }
-}
-
 struct Held {
     access: Access,
     work: f64,
@@ -97,7 +91,6 @@
     held_for: Tenths,
     /// Good answers it still owes after it was left alone.
     trial: u32,
-    lost: bool,
     out: u32,
     out_work: f64,
     answered: Tenths,
@@ -148,7 +141,9 @@
     spare_pushes: f64,
     start_limit: f64,
     fill_limit: f64,
+    /// Fills in the air, averaged over the longer, the smaller this front's part of the zone's traffic is.
     filling: Level,
+    over: f64,
     crew: f64,
 }
 
@@ -194,6 +189,7 @@
             start_limit,
             fill_limit: 40.0 / f64::from(s.crew),
             filling: Level::default(),
+            over: 500.0 * (f64::from(s.crew) - 1.0),
             crew: f64::from(s.crew),
         }
     }
@@ -228,7 +224,7 @@
             p.weight = if self.weights && m.weight > 0.0 { m.weight } else { 1.0 };
             if m.started > p.started {
                 // It runs again: what was held against it was about the process before.
-                (p.started, p.bad, p.held_until, p.trial, p.lost) = (m.started, 0.0, now, 0, false);
+                (p.started, p.bad, p.held_until, p.trial) = (m.started, 0.0, now, 0);
                 (p.limit, p.spent) = (self.start_limit, Fading::default());
             }
         }
@@ -291,7 +287,7 @@
         // there is room. The same where no source can be named. Covers a slow or crowded link, parent or
         // origin, mass purges, cold zones and one-off objects; costs a round trip.
         let (limit, looked) = (self.fill_limit, self.held[place].looked);
-        let filling = self.filling.mean(now, self.over());
+        let filling = self.filling.mean(now, self.over);
         let (tight, full) = (filling >= 0.5 * limit, filling >= limit * self.held[place].keen);
         match (self.pick_cache(now, place, mean), source) {
             (Ok(cache), source) if !looked && (tight || source.is_none()) => {
@@ -316,7 +312,7 @@
     fn may_repeat_at(&self, now: Tenths, place: usize, cache: usize) -> bool {
         let h = &self.held[place];
         let effect = self.classes[h.access.offering].of.effect;
-        h.sent.iter().filter(|s| !s.unrun()).all(|s| match effect {
+        h.sent.iter().filter(|s| !s.ended.is_some_and(Outcome::proves_unrun)).all(|s| match effect {
             Effect::Idempotent => true,
             Effect::Unrepeatable => false,
             Effect::Deduplicated { within, window } => {
@@ -410,7 +406,7 @@
         }
         let straight = self.peers[to.0].role != Role::Cache;
         let fill = !uncacheable && (straight || to.0 != to.1 && (h.looked || lacks));
-        self.filling.add(now, self.over(), f64::from(u8::from(fill)));
+        self.filling.add(now, self.over, f64::from(u8::from(fill)));
         for c in hops(to) {
             let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b);
             let p = &mut self.peers[c];
@@ -465,7 +461,7 @@
         sent.ended = Some(e.outcome);
         let Sent { to, work, next, .. } = *sent;
         let fill = f64::from(u8::from(sent.fill));
-        self.filling.add(now, self.over(), -fill);
+        self.filling.add(now, self.over, -fill);
         hops(to).for_each(|c| self.peers[c].let_go(work));
         if matches!(e.outcome, Outcome::Handled | Outcome::Error | Outcome::Full | Outcome::Miss) {
             self.heard(now, to.0);
@@ -520,12 +516,11 @@
             hops(to).for_each(|c| self.mark(now, c, weight(c), out));
         }
         if now >= soft_at {
-            if fill {
-                // Four at least, so that a zone that lost its copies can tell when fills are quick.
+            if fill && !hops(to).any(|c| self.stands_out(now, c) > 0.0) {
+                // Four at least in a zone, so that it can tell when fills are quick again.
                 self.fill_limit = (self.fill_limit * 0.9).max(4.0 / self.crew);
             }
-            // Lost while others are answered: under a limit of five, which a few of these would fill, it no
-            // longer holds a place.
+            // Lost while others are answered: under a limit of five it no longer holds a place.
             let p = &self.peers[cache];
             let lost = p.limit < 5.0 && p.answered > at;
             let work = if lost { std::mem::take(&mut self.held[place].sent[number].work) } else { 0.0 };
@@ -555,7 +550,7 @@
         h.done = true;
         let harmless = match self.classes[h.access.offering].of.effect {
             Effect::Idempotent | Effect::Deduplicated { within: Group::All, .. } => true,
-            _ => h.sent.iter().all(|s| s.unrun()),
+            _ => h.sent.iter().all(|s| s.ended.is_some_and(Outcome::proves_unrun)),
         };
         if harmless {
             // Clients that heed it come back spread over the second half of what they would wait at most.
@@ -637,17 +632,12 @@
     /// can always tell.
     const RAISE: f64 = 0.1;
 
-    fn over(&self) -> f64 {
-        500.0 * (self.crew - 1.0)
-    }
-
     fn lower(limit: f64) -> f64 {
         (limit * 0.9).max(2.0)
     }
 
     fn judge(&mut self, now: Tenths, place: usize, to: (usize, usize), e: &Ended, out: &mut dyn Outlet) {
         let (cache, source) = to;
-        let over = self.over();
         let h = &mut self.held[place];
         let (a, sent) = (h.access, &mut h.sent[e.push]);
         match e.outcome {
@@ -664,8 +654,8 @@
                 if a.kb == 0.0 || self.flow == 0.0 {
                     class.mean += (e.lag as f64 - class.mean) / 64.0;
                 }
-                if in_time && sent.fill && self.filling.mean(now, over) >= 0.5 * self.fill_limit {
-                    self.fill_limit *= 1.025;
+                if in_time && sent.fill && self.filling.mean(now, self.over) >= 0.5 * self.fill_limit {
+                    self.fill_limit += Self::RAISE / self.crew;
                 }
                 let (mean, overdue) = (class.mean, sent.overdue);
                 for c in hops(to) {
@@ -686,7 +676,7 @@
             }
             Outcome::Withdrawn | Outcome::NeverSent | Outcome::TimedOut => {}
             Outcome::Unreachable | Outcome::Broken => {
-                self.peers[cache].lost = true;
+                self.peers[cache].hush = 3;
                 self.mark(now, cache, 0.6, out);
             }
             Outcome::Error | Outcome::Full | Outcome::Miss => {
@@ -717,39 +707,43 @@
     }
 
     /// A push naming this member went wrong, or is overdue. Which hop was at fault is seldom told, so every
-    /// one named is marked; the one at fault stands out from the others of its role, and is left alone for a
-    /// while, longer each time, then tried with one push at a time. Where all are equally bad the cause is
-    /// shared (link, origin, overload) and nobody is. Covers silent, slow, failing and lost members; a fast
-    /// failer attracts nothing, and a recovered one is found again. May hurt where half of a role is ill:
-    /// they hide each other.
+    /// one named is marked; the one at fault stands out, and is left alone a while, longer each time, then
+    /// tried with one push at a time. Covers silent, slow, failing and lost members; a fast failer attracts
+    /// nothing, and a recovered one is found again. May hurt where over half of a role is ill.
     fn mark(&mut self, now: Tenths, c: usize, weight: f64, out: &mut dyn Outlet) {
         self.peers[c].bad += (1.0 - self.peers[c].bad) * weight;
         let p = &self.peers[c];
         if p.held_until > now {
             return;
         }
-        let set = if p.role == Role::Parent { &self.parents } else { &self.caches };
-        let others = set.iter().filter(|&&o| o != c).count().max(1) as f64;
-        let theirs = set.iter().filter(|&&o| o != c).map(|&o| self.peers[o].bad).sum::<f64>() / others;
         // Well past twice the others' share: chance alone does not get there (four deviations at this
         // weight). A silent parent shows only in the missed third of the pushes that name it, unless hits are
         // told apart; then the hits do not dilute its marks, and it takes more of them.
         let told = p.role != Role::Cache && self.notes == Notes::All;
-        if p.bad > if told { 0.32 } else { 0.16 } + 2.0 * theirs.max(0.08) {
+        if self.stands_out(now, c) > if told { 0.32 } else { 0.16 } {
             // Where hits can't be told from fills, a source proves itself only by several good answers.
             let trial = if p.role == Role::Cache || told { 1 } else { 6 };
             let p = &mut self.peers[c];
-            if p.lost {
-                // Unreachable: when it is found again it has most likely just started, whatever the list
-                // says.
-                p.started = p.started.max(Some(now + p.held_for));
-            }
             out.log(format_args!("{:?} {} left alone for {} ms", p.role, p.id, p.held_for / 10));
             (p.held_until, p.held_for, p.trial) =
                 (now + p.held_for, (p.held_for * 2).min(Self::HOLDS[1]), trial);
         }
     }
 
+    /// By how much a member's share of bad pushes is over twice that of the better half of its likes (caches
+    /// of the zone; parents and origin) that answered lately: a kind, a cell or two parents struck at once
+    /// don't hide each other, while a link or load that is bad for all makes nobody stand out.
+    fn stands_out(&self, now: Tenths, c: usize) -> f64 {
+        let cache = self.peers[c].role == Role::Cache;
+        let set = if cache { &self.caches } else { &self.parents };
+        let likes = set.iter().copied().chain(self.origin.filter(|_| !cache)).filter(|&o| o != c);
+        let lately = likes.map(|o| &self.peers[o]).filter(|p| p.carries.at + 20_000 > now);
+        let mut theirs: ArrayVec<f64, 16> = lately.map(|p| p.bad).take(16).collect();
+        theirs.sort_by(f64::total_cmp);
+        let half = theirs.len().div_ceil(2);
+        self.peers[c].bad - 2.0 * (theirs[..half].iter().sum::<f64>() / half.max(1) as f64).max(0.08)
+    }
+
     /// Answers again. After a silence of a second and more it is taken for just started, whatever the list
     /// says: a zone that comes back cold must not be asked for all at once. Costs one that only hung a slow
     /// return.
@@ -765,7 +759,6 @@
         let p = &mut self.peers[c];
         p.bad *= 1.0 - Self::MARK;
         if p.trial > 0 && p.held_until <= now {
-            p.lost = false;
             p.trial -= 1;
             p.bad = if p.trial == 0 { 0.0 } else { p.bad };
         }
@@ -779,9 +772,8 @@
 
     /// Some seconds: a few dozen pushes, yet short enough to follow a surge.
     const RATE_OVER: f64 = 40_000.0;
-    /// Six tenths of a cold member's budget leak away steadily, a tenth of a window's may come in a burst;
-    /// the rest is for what was misjudged.
-    const COLD_LEAK: f64 = 0.6;
+    /// Of a cold member's budget this part leaks away steadily, a tenth of a window's may come in a burst.
+    const COLD_LEAK: f64 = 0.75;
 
     /// Which cold figures go for a member, and how far it has come since its start, if it is cold.
     fn cold_age(&self, now: Tenths, c: usize) -> Option<(usize, f64)> {
@@ -805,8 +797,7 @@
     }
 
     /// What this front may send a cold member at once, in transfers: `multiple` times its present share of
-    /// what such a member usually carries for this front. Needs no unit, no count of fronts and no capacity.
-    /// At least a tenth of a transfer, so that a front that has seen nothing yet can begin.
+    /// what such a member usually carries for this front; at least a tenth of one, so that it can begin.
     fn cold_budget(&self, now: Tenths, c: usize) -> Option<f64> {
         let (slot, age) = self.cold_age(now, c)?;
         let set = &self.cold[slot];
--- a/src/fading.rs
+++ b/src/fading.rs
@@ -35,7 +35,7 @@
 impl Level {
     /// The average over about the given time.
     pub fn mean(&self, now: Tenths, over: f64) -> f64 {
-        let old = (-(now.saturating_sub(self.at) as f64) / over.max(1.0)).exp();
+        let old = if over > 0.0 { (-(now.saturating_sub(self.at) as f64) / over).exp() } else { 0.0 };
         self.count + (self.mean - self.count) * old
     }
 
