--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -17,7 +17,8 @@
 type Census = Arc<[Member]>;
 
 struct Link {
-    fronts: FxHashMap<Box<str>, Front>,
+    /// Each with the place of the link's fullness in its load reports.
+    fronts: FxHashMap<Box<str>, (Front, Option<usize>)>,
     censuses: FxHashMap<u64, Census>,
     writer: Writer,
 }
@@ -120,15 +121,21 @@
     })
 }
 
+/// One value of a load report.
+fn reported(row: &str, at: usize) -> Result<f64, Bad> {
+    let value = row.split(',').nth(at).and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite());
+    value.ok_or_else(|| Bad(format!("field 'pressure': no value {at} in '{row}'")))
+}
+
 fn event(link: &mut Link, line: &Line<'_>, now: Tenths) -> Result<(), Bad> {
     let tag = line.tag();
     let who = line.text("i")?;
     if tag == "power_on" {
-        let settings = boot::settings(line.rest("bootInfo")?)?;
-        link.fronts.insert(who.into(), Front::new(&settings, line.whole("prng")?));
+        let (settings, fullness) = boot::settings(line.rest("bootInfo")?)?;
+        link.fronts.insert(who.into(), (Front::new(&settings, line.whole("prng")?), fullness));
         return Ok(());
     }
-    let front = link
+    let (front, fullness) = link
         .fronts
         .get_mut(who)
         .ok_or_else(|| Bad(format!("field 'i': '{who}' does not run ('{tag}' before 'power_on')")))?;
@@ -157,6 +164,7 @@
                 settled: line.flag("settled")?,
                 lag: line.time_down("lag")?,
                 note: boot::note(line.whole_or("info", 0)?)?,
+                link: fullness.zip(line.get("pressure")).map(|(at, row)| reported(row, at)).transpose()?,
             };
             front.ended(now, line.whole("requestId")?, &ended, out);
         }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -31,6 +31,8 @@
     pub timers: Vec<(Tenths, u64)>,
     pub purges: Vec<(Option<u64>, u64, Tenths)>,
     pub follows: u32,
+    /// What caches report of the link in.
+    pub link: Option<f64>,
 }
 
 pub fn member(id: &str, zone: usize, kind: usize) -> Member {
@@ -77,7 +79,7 @@
         let mut front = Front::new(&set, 7);
         let (now, follows) = (1_000_000, 0);
         let (list, told, timers, purges) = Default::default();
-        let mut world = World { set, now, list, told, timers, purges, follows };
+        let mut world = World { set, now, list, told, timers, purges, follows, link: None };
         world.tell(&mut front, members, true);
         (world, front)
     }
@@ -108,7 +110,7 @@
         if outcome == Outcome::Handled && told.finals == 0 {
             told.finals = 1;
         }
-        front.ended(self.now, id, &Ended { push, outcome, settled, lag, note }, self);
+        front.ended(self.now, id, &Ended { push, outcome, settled, lag, note, link: self.link }, self);
     }
 
     pub fn purge(&mut self, front: &mut Front, object: Option<u64>, group: u64, ago: Tenths) {
