--- a/crates/benchlink/src/boot.rs
+++ b/crates/benchlink/src/boot.rs
@@ -16,16 +16,9 @@
     weight_kind: String,
     limits: Limits,
     rules: Rules,
-    report: Report,
     specifics: Specifics,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Report {
-    fields: Vec<String>,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Profile {
@@ -67,8 +60,6 @@
     parent_limit_factor: f64,
     pass_on: Vec<bool>,
     purge_done: f64,
-    #[serde(rename = "reportX1")]
-    report_x1: String,
     root_kind: i64,
     shares_fills: bool,
     straight: bool,
@@ -87,7 +78,6 @@
             weight_kind: "silent".into(),
             limits: Limits { max_attempts: 1, ..Limits::default() },
             rules: Rules::default(),
-            report: Report::default(),
             specifics: Specifics::default(),
         }
     }
@@ -123,7 +113,6 @@
             parent_limit_factor: 1.0,
             pass_on: Vec::new(),
             purge_done: 0.0,
-            report_x1: String::new(),
             root_kind: -1,
             shares_fills: false,
             straight: false,
@@ -141,8 +130,7 @@
     Bad(format!("field 'bootInfo': {what}: unknown value '{value}'"))
 }
 
-/// The settings, and which value of a load report tells how full the location's link in is.
-pub fn settings(text: &str) -> Result<(Settings, Option<usize>), Bad> {
+pub fn settings(text: &str) -> Result<Settings, Bad> {
     let boot: Boot = serde_json::from_str(text).map_err(|e| Bad(format!("field 'bootInfo': {e}")))?;
     let own = &boot.specifics;
     let mut offerings = Vec::with_capacity(boot.profiles.len());
@@ -167,9 +155,7 @@
             uncacheable: own.pass_on.get(at).copied().unwrap_or(false),
         });
     }
-    let link = own.report_x1.contains("location's link");
-    let fullness = boot.report.fields.iter().position(|f| link && f == "x1");
-    let settings = Settings {
+    Ok(Settings {
         offerings,
         zone: boot.zone,
         crew: own.crew_by_zone.get(boot.zone).copied().unwrap_or(boot.fleet_size).max(1),
@@ -205,8 +191,7 @@
             window: tenths(boot.rules.fall),
         },
         purge_done: tenths(own.purge_done),
-    };
-    Ok((settings, fullness))
+    })
 }
 
 pub fn outcome(code: &str) -> Result<Outcome, Bad> {
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -17,8 +17,7 @@
 type Census = Arc<[Member]>;
 
 struct Link {
-    /// Each with the place of the link's fullness in its load reports.
-    fronts: FxHashMap<Box<str>, (Front, Option<usize>)>,
+    fronts: FxHashMap<Box<str>, Front>,
     censuses: FxHashMap<u64, Census>,
     writer: Writer,
 }
@@ -121,21 +120,15 @@
     })
 }
 
-/// One value of a load report.
-fn reported(row: &str, at: usize) -> Result<f64, Bad> {
-    let value = row.split(',').nth(at).and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite());
-    value.ok_or_else(|| Bad(format!("field 'pressure': no value {at} in '{row}'")))
-}
-
 fn event(link: &mut Link, line: &Line<'_>, now: Tenths) -> Result<(), Bad> {
     let tag = line.tag();
     let who = line.text("i")?;
     if tag == "power_on" {
-        let (settings, fullness) = boot::settings(line.rest("bootInfo")?)?;
-        link.fronts.insert(who.into(), (Front::new(&settings, line.whole("prng")?), fullness));
+        let settings = boot::settings(line.rest("bootInfo")?)?;
+        link.fronts.insert(who.into(), Front::new(&settings, line.whole("prng")?));
         return Ok(());
     }
-    let (front, fullness) = link
+    let front = link
         .fronts
         .get_mut(who)
         .ok_or_else(|| Bad(format!("field 'i': '{who}' does not run ('{tag}' before 'power_on')")))?;
@@ -164,7 +157,6 @@
                 settled: line.flag("settled")?,
                 lag: line.time_down("lag")?,
                 note: boot::note(line.whole_or("info", 0)?)?,
-                link: fullness.zip(line.get("pressure")).map(|(at, row)| reported(row, at)).transpose()?,
             };
             front.ended(now, line.whole("requestId")?, &ended, out);
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -144,7 +144,6 @@
     /// Fills in the air, averaged over the longer, the smaller this front's part of the zone's traffic is.
     filling: Level,
     over: f64,
-    link: Option<f64>,
     crew: f64,
 }
 
@@ -190,7 +189,6 @@
             start_limit,
             fill_limit: 40.0 / f64::from(s.crew),
             filling: Level::default(),
-            link: None,
             over: 500.0 * (f64::from(s.crew) - 1.0),
             crew: f64::from(s.crew),
         }
@@ -289,8 +287,8 @@
         // there is room. The same where no source can be named. Covers a slow or crowded link, parent or
         // origin, mass purges, cold zones and one-off objects; costs a round trip.
         let (limit, looked) = (self.fill_limit, self.held[place].looked);
-        let used = self.link.map_or(self.filling.mean(now, self.over) / limit, |l| l / Self::LINK);
-        let (tight, full) = (used >= 0.5, used >= self.held[place].keen);
+        let filling = self.filling.mean(now, self.over);
+        let (tight, full) = (filling >= 0.5 * limit, filling >= limit * self.held[place].keen);
         match (self.pick_cache(now, place, mean), source) {
             (Ok(cache), source) if !looked && (tight || source.is_none()) => {
                 self.held[place].looked = true;
@@ -467,9 +465,6 @@
         hops(to).for_each(|c| self.peers[c].let_go(work));
         if matches!(e.outcome, Outcome::Handled | Outcome::Error | Outcome::Full | Outcome::Miss) {
             self.heard(now, to.0);
-            if let Some(told) = e.link.filter(|_| self.peers[to.0].role == Role::Cache) {
-                self.link = Some(self.link.map_or(told, |l| l + (told - l) / 4.0));
-            }
         }
         self.judge(now, place, to, e, out);
         let h = &mut self.held[place];
@@ -636,7 +631,6 @@
     /// limit is in use, a tenth down for each that passes its soft limit, and never below two, so that one
     /// can always tell.
     const RAISE: f64 = 0.1;
-    const LINK: f64 = 3.0;
 
     fn lower(limit: f64) -> f64 {
         (limit * 0.9).max(2.0)
--- a/src/face.rs
+++ b/src/face.rs
@@ -162,8 +162,6 @@
     pub settled: bool,
     pub lag: Tenths,
     pub note: Note,
-    /// How full a cache says that its location's link in is: transfers over those that fit at full pace.
-    pub link: Option<f64>,
 }
 
 /// One push of an access, as it goes out.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -31,8 +31,6 @@
     pub timers: Vec<(Tenths, u64)>,
     pub purges: Vec<(Option<u64>, u64, Tenths)>,
     pub follows: u32,
-    /// What caches report of the link in.
-    pub link: Option<f64>,
 }
 
 pub fn member(id: &str, zone: usize, kind: usize) -> Member {
@@ -79,7 +77,7 @@
         let mut front = Front::new(&set, 7);
         let (now, follows) = (1_000_000, 0);
         let (list, told, timers, purges) = Default::default();
-        let mut world = World { set, now, list, told, timers, purges, follows, link: None };
+        let mut world = World { set, now, list, told, timers, purges, follows };
         world.tell(&mut front, members, true);
         (world, front)
     }
@@ -110,7 +108,7 @@
         if outcome == Outcome::Handled && told.finals == 0 {
             told.finals = 1;
         }
-        front.ended(self.now, id, &Ended { push, outcome, settled, lag, note, link: self.link }, self);
+        front.ended(self.now, id, &Ended { push, outcome, settled, lag, note }, self);
     }
 
     pub fn purge(&mut self, front: &mut Front, object: Option<u64>, group: u64, ago: Tenths) {
