Pushes out at members are averaged too, their limits a part of the zone's

Cause: at size a cache has 0.3 pushes out from one front; a floor of two a front is no limit for 20 fronts, and a count of two is chance. Change: the same average and the same rise and floor over the crew as for fills, for caches, parents and the origin.

--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 use crate::hash;
 use crate::oldest::OldestFirst;
 
-/// Pushes kept for one access; no settings seen allow more, and a ninth would seldom be in time.
+/// Pushes kept for one access: a ninth would seldom be in time.
 const MOST_PUSHES: usize = 8;
 
 /// What an access does next, left behind by each push: it is handed the push's result.
@@ -91,7 +91,7 @@
     held_for: Tenths,
     /// Good answers it still owes after it was left alone.
     trial: u32,
-    out: u32,
+    out: Level,
     out_work: f64,
     answered: Tenths,
     /// Pushes that grew overdue since the last answer.
@@ -103,8 +103,8 @@
 }
 
 impl Peer {
-    fn let_go(&mut self, work: f64) {
-        self.out -= u32::from(work > 0.0);
+    fn let_go(&mut self, now: Tenths, over: f64, work: f64) {
+        self.out.add(now, over, -f64::from(u8::from(work > 0.0)));
         self.out_work = (self.out_work - work).max(0.0);
     }
 }
@@ -141,8 +141,8 @@
     spare_pushes: f64,
     start_limit: f64,
     fill_limit: f64,
-    /// Fills in the air, averaged over the longer, the smaller this front's part of the zone's traffic is.
     filling: Level,
+    /// Counts of what is out are averaged over this.
     over: f64,
     crew: f64,
 }
@@ -156,8 +156,8 @@
     pub fn new(s: &Settings, seed: u64) -> Self {
         // Until answers tell: half the soft limit, so that first estimates err on the long side.
         let class = |o: &Offering| Class { of: o.clone(), mean: o.soft as f64 / 2.0, patience: 1.0 };
-        // A guess that the answers soon correct: a score of pushes out at one cache, from all of its fronts.
-        let start_limit = (20.0 / f64::from(s.crew)).max(4.0);
+        // A guess that the answers soon correct: a score of pushes out at one cache, from all its fronts.
+        let start_limit = 20.0 / f64::from(s.crew);
         Front {
             classes: s.offerings.iter().map(class).collect(),
             zone: s.zone,
@@ -187,8 +187,9 @@
             density: 0.0,
             spare_pushes: 10.0,
             start_limit,
-            fill_limit: 40.0 / f64::from(s.crew),
+            fill_limit: 2.0 * start_limit,
             filling: Level::default(),
+            // 50 ms for each further front: a count of its own few accesses is chance, an average is not.
             over: 500.0 * (f64::from(s.crew) - 1.0),
             crew: f64::from(s.crew),
         }
@@ -254,8 +255,8 @@
         // From half a limit for the least benefit to one and a half for the most: under overload the lowest
         // benefit for its work goes first, and no offering is shut out.
         let keen = (0.5 + 0.5 * density / self.density).min(1.5);
-        // Further pushes are paid from a fund that grows with the accesses, so that a shared trouble can't
-        // multiply the load: a fifth of an access for each, saved up for twenty at most.
+        // Further pushes are paid from a fund, a fifth of an access for each, saved up for twenty at most, so
+        // that a shared trouble can't multiply the load.
         self.spare_pushes = (self.spare_pushes + 0.2).min(20.0);
         let (lacks, rank, renew) = self.remember(now, a);
         let (sent, looked, done) = (ArrayVec::new(), false, false);
@@ -345,7 +346,7 @@
             weights += p.weight;
         }
         // Overload: what can't be answered in time is turned down before it takes up what could be.
-        let crowded = |c: usize| f64::from(self.peers[c].out) >= (self.peers[c].limit * h.keen).max(2.0);
+        let crowded = |c: usize| self.used(now, c) >= h.keen;
         let best = self.first(h.access.object, &self.caches, |c| {
             if crowded(c) || !self.may_repeat_at(now, place, c) || !self.cold_room(now, c, mean) {
                 return None;
@@ -357,10 +358,9 @@
             if !self.well(now, c) {
                 return Some(2);
             }
-            // Hashing with bounded loads: a cache whose unanswered work is well over its share of all is
-            // passed over. Covers slow and silent caches, hot objects and uneven hashing; costs second
-            // copies. A quarter over its share and two accesses: less spills too much, more leaves hot caches
-            // late.
+            // Hashing with bounded loads: a cache with well over its share of unanswered work is passed over.
+            // Covers slow and silent caches, hot objects and uneven hashing; costs second copies. A quarter
+            // over its share and two accesses: less spills too much, more leaves hot caches late.
             let share = all * p.weight / f64::max(weights, p.weight);
             Some(u8::from(p.out_work + mean > 1.25 * share + 2.0 * mean))
         });
@@ -376,9 +376,9 @@
             _ if !self.cold_room(now, c, mean) => None,
             _ if h.sent.iter().any(|s| s.to.0 == c || s.to.1 == c) => Some(3),
             _ if !self.well(now, c) => Some(2),
-            _ => Some(u8::from(f64::from(self.peers[c].out) >= self.peers[c].limit)),
+            _ => Some(u8::from(self.used(now, c) >= 1.0)),
         });
-        let fits = |&o: &usize| self.well(now, o) && f64::from(self.peers[o].out) < self.peers[o].limit;
+        let fits = |&o: &usize| self.well(now, o) && self.used(now, o) < 1.0;
         best.filter(|b| b.0 == 0).map(|b| b.1).or(self.origin.filter(fits)).or(best.map(|b| b.1))
     }
 
@@ -397,8 +397,7 @@
         }
         if !uncacheable {
             // Overdue: four tenths of the soft limit and half as much again as sending should take, stretched
-            // as this offering needs; before the soft limit, so that there is time left to do better
-            // elsewhere.
+            // as this offering needs; before the soft limit, so that there is time left to do better elsewhere.
             let soft = class.of.soft as f64;
             let overdue = class.patience * (0.4 * soft + 1.5 * h.work);
             let overdue = overdue.min(0.9 * (soft + class.of.stretch * h.work)) as Tenths;
@@ -410,7 +409,7 @@
         for c in hops(to) {
             let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b);
             let p = &mut self.peers[c];
-            p.out += 1;
+            p.out.add(now, self.over, 1.0);
             p.out_work += work;
             p.spent = Fading { sum: p.spent.left(now, leak) + work, at: now };
         }
@@ -462,7 +461,7 @@
         let Sent { to, work, next, .. } = *sent;
         let fill = f64::from(u8::from(sent.fill));
         self.filling.add(now, self.over, -fill);
-        hops(to).for_each(|c| self.peers[c].let_go(work));
+        hops(to).for_each(|c| self.peers[c].let_go(now, self.over, work));
         if matches!(e.outcome, Outcome::Handled | Outcome::Error | Outcome::Full | Outcome::Miss) {
             self.heard(now, to.0);
         }
@@ -518,15 +517,15 @@
         if now >= soft_at {
             if fill && !hops(to).any(|c| self.stands_out(now, c) > 0.0) {
                 // Four at least in a zone, so that it can tell when fills are quick again.
-                self.fill_limit = (self.fill_limit * 0.9).max(4.0 / self.crew);
+                self.fill_limit = (self.fill_limit * Self::FALL).max(4.0 / self.crew);
             }
             // Lost while others are answered: under a limit of five it no longer holds a place.
             let p = &self.peers[cache];
             let lost = p.limit < 5.0 && p.answered > at;
             let work = if lost { std::mem::take(&mut self.held[place].sent[number].work) } else { 0.0 };
             for c in hops(to) {
-                self.peers[c].limit = Self::lower(self.peers[c].limit);
-                self.peers[c].let_go(work);
+                self.lower(c);
+                self.peers[c].let_go(now, self.over, work);
             }
         }
         let source_ill = source != cache && !self.well(now, source);
@@ -624,16 +623,21 @@
 
     /// Weight of one push in a member's share of bad ones: the last dozen or two count.
     const MARK: f64 = 1.0 / 16.0;
-    /// How long a member is left alone at first: some round trips and a reconnect; and at the most, so that
-    /// one that recovers is found within a few seconds.
+    /// How long a member is left alone at first (some round trips, a reconnect), and at the most.
     const HOLDS: [Tenths; 2] = [2_500, 10_000];
-    /// Limits follow what is answered in time: a tenth of a push up for each answer in time while half the
-    /// limit is in use, a tenth down for each that passes its soft limit, and never below two, so that one
-    /// can always tell.
+    /// Limits follow what is answered in time: each answer in time while half the limit is in use raises it
+    /// by a tenth of a push over the front's crew, each push past its soft limit lowers it by a tenth. They
+    /// are this front's part of the zone's, which is two at least, so that one can always tell.
     const RAISE: f64 = 0.1;
+    const FALL: f64 = 0.9;
 
-    fn lower(limit: f64) -> f64 {
-        (limit * 0.9).max(2.0)
+    fn lower(&mut self, c: usize) {
+        self.peers[c].limit = (self.peers[c].limit * Self::FALL).max(2.0 / self.crew);
+    }
+
+    /// Share of a member's limit that is in use.
+    fn used(&self, now: Tenths, c: usize) -> f64 {
+        self.peers[c].out.mean(now, self.over) / self.peers[c].limit
     }
 
     fn judge(&mut self, now: Tenths, place: usize, to: (usize, usize), e: &Ended, out: &mut dyn Outlet) {
@@ -659,11 +663,10 @@
                 }
                 let (mean, overdue) = (class.mean, sent.overdue);
                 for c in hops(to) {
+                    let busy = self.used(now, c) >= 0.5;
                     let p = &mut self.peers[c];
                     p.carries.count(now, Self::RATE_OVER, mean);
-                    if in_time && f64::from(p.out) >= 0.5 * p.limit {
-                        p.limit += Self::RAISE;
-                    }
+                    p.limit += if in_time && busy { Self::RAISE / self.crew } else { 0.0 };
                 }
                 self.praise(now, cache);
                 if source != cache && (filled || self.notes != Notes::All) {
@@ -680,7 +683,6 @@
                 self.mark(now, cache, 0.6, out);
             }
             Outcome::Error | Outcome::Full | Outcome::Miss => {
-                let p = &mut self.peers[cache];
                 match e.note {
                     Note::SourceRefused | Note::SourceLost | Note::OriginFailed if source != cache => {
                         sent.source_failed = true;
@@ -693,7 +695,7 @@
                     {
                         hops(to).for_each(|c| self.mark(now, c, 2.0 * Self::MARK, out));
                     }
-                    _ if e.outcome == Outcome::Full => p.limit = Self::lower(p.limit),
+                    _ if e.outcome == Outcome::Full => self.lower(cache),
                     _ => {}
                 }
             }
@@ -703,7 +705,7 @@
     /// Fit for ordinary pushes: not left alone, or on trial with no push out to tell yet.
     fn well(&self, now: Tenths, c: usize) -> bool {
         let p = &self.peers[c];
-        p.held_until <= now && (p.trial == 0 || p.out == 0)
+        p.held_until <= now && (p.trial == 0 || p.out.count == 0.0)
     }
 
     /// A push naming this member went wrong, or is overdue. Which hop was at fault is seldom told, so every
@@ -744,9 +746,8 @@
         self.peers[c].bad - 2.0 * (theirs[..half].iter().sum::<f64>() / half.max(1) as f64).max(0.08)
     }
 
-    /// Answers again. After a silence of a second and more it is taken for just started, whatever the list
-    /// says: a zone that comes back cold must not be asked for all at once. Costs one that only hung a slow
-    /// return.
+    /// Answers again. After a second of silence it is taken for just started, whatever the list says: a zone
+    /// that comes back cold must not be asked for all at once. Costs one that only hung a slow return.
     fn heard(&mut self, now: Tenths, c: usize) {
         let p = &mut self.peers[c];
         if p.hush >= 3 && p.answered + 10_000 < now {
