No look at a cache in the first half of its cold time; budgets take small bursts; usual not forgotten

A look that misses costs as much of a cold cache's budget as a fill, each large push had to leak away before any small one, and rates taken while all were silent made the usual load tiny. Change: a cache in the first half of its cold time is filled without a look; a quarter of a window's budget may come in a burst, 0.65 leaks (0.1 and 0.75); the usual load is learned from members heard within its averaging time only.

--- a/src/control.rs
+++ b/src/control.rs
@@ -290,7 +290,11 @@
         let (limit, looked) = (self.fill_limit, self.held[place].looked);
         let filling = self.filling.mean(now, self.over);
         let (tight, full) = (filling >= 0.5 * limit, filling >= limit * self.held[place].keen);
-        match (self.pick_cache(now, place, mean), source) {
+        let picked = self.pick_cache(now, place, mean);
+        // One that has just started holds nothing, and a look costs as much of its budget as a fill.
+        let empty = |c| self.cold_age(now, c).is_some_and(|(_, age)| age < 0.5);
+        let looked = looked || source.is_some() && picked.is_ok_and(empty);
+        match (picked, source) {
             (Ok(cache), source) if !looked && (tight || source.is_none()) => {
                 self.held[place].looked = true;
                 self.push(now, place, (cache, cache), Self::after_look, out)
@@ -397,7 +401,7 @@
         }
         if !uncacheable {
             // Overdue: four tenths of the soft limit and half as much again as sending should take, stretched
-            // as this offering needs; before the soft limit, so that there is time left to do better elsewhere.
+            // as this offering needs; before the soft limit, so that time is left to do better elsewhere.
             let soft = class.of.soft as f64;
             let overdue = class.patience * (0.4 * soft + 1.5 * h.work);
             let overdue = overdue.min(0.9 * (soft + class.of.stretch * h.work)) as Tenths;
@@ -774,7 +778,7 @@
     /// Some seconds: a few dozen pushes, yet short enough to follow a surge.
     const RATE_OVER: f64 = 40_000.0;
     /// Of a cold member's budget this part leaks away steadily, a tenth of a window's may come in a burst.
-    const COLD_LEAK: f64 = 0.75;
+    const COLD_LEAK: f64 = 0.65;
 
     /// Which cold figures go for a member, and how far it has come since its start, if it is cold.
     fn cold_age(&self, now: Tenths, c: usize) -> Option<(usize, f64)> {
@@ -784,11 +788,13 @@
         (since < lasts).then(|| (slot, since as f64 / lasts as f64))
     }
 
-    /// What warm members of a role answer for this front is its part of what such a member carries.
+    /// What warm members of a role answer for this front is its part of what such a member carries. Members
+    /// not heard of while the rates are taken tell nothing: a zone that was lost must not forget its usual.
     fn learn_usual(&mut self, now: Tenths, c: usize) {
         let slot = usize::from(self.peers[c].role == Role::Parent);
         let set = if slot == 1 { &self.parents } else { &self.caches };
-        let warm = |&&o: &&usize| self.peers[o].held_until <= now && self.cold_age(now, o).is_none();
+        let heard = |p: &Peer| p.carries.at + Self::RATE_OVER as Tenths > now && p.held_until <= now;
+        let warm = |&&o: &&usize| heard(&self.peers[o]) && self.cold_age(now, o).is_none();
         let (rates, weights) = set.iter().filter(warm).fold((0.0, 0.0), |(r, w), &o| {
             (r + self.peers[o].carries.rate(now, Self::RATE_OVER), w + self.peers[o].weight)
         });
@@ -811,6 +817,6 @@
         let Some(budget) = self.cold_budget(now, c) else { return true };
         let window = self.cold[usize::from(self.peers[c].role == Role::Parent)].window as f64;
         let level = self.peers[c].spent.left(now, Self::COLD_LEAK * budget);
-        level == 0.0 || level + work <= 0.1 * budget * window
+        level == 0.0 || level + work <= 0.25 * budget * window
     }
 }
