--- a/src/control.rs
+++ b/src/control.rs
@@ -682,7 +682,9 @@
                 }
             }
             Outcome::Withdrawn | Outcome::NeverSent | Outcome::TimedOut => {}
-            Outcome::Unreachable | Outcome::Broken => {
+            // Connections may break everywhere alike; only one that can't be made means a dead member.
+            Outcome::Broken => self.mark(now, cache, 4.0 * Self::MARK, out),
+            Outcome::Unreachable => {
                 self.peers[cache].hush = 3;
                 self.mark(now, cache, 0.6, out);
             }
