Past the fill limit to an idle origin; members held longer where a front asks them rarely

The limit on fills falls with the slow parents' late fills, and more than half of a role being ill can't be told from a slow link by comparison. And a hold of a second spares a front nothing that asks a member twice a second. Change: a miss past the limit names the origin while under a fifth of what it may have out is; holds last longer by the root of the crew.

--- a/src/control.rs
+++ b/src/control.rs
@@ -294,14 +294,16 @@
         // One that has just started holds nothing, and a look costs as much of its budget as a fill.
         let empty = |c| self.cold_age(now, c).is_some_and(|(_, age)| age < 0.5);
         let looked = looked || source.is_some() && picked.is_ok_and(empty);
+        // Past the limit it is the origin, while under a fifth of what it may have out is: parents that grow
+        // slow lower the limit long before they are told from the link.
+        let idle = |&o: &usize| self.well(now, o) && self.used(now, o) < 0.2;
+        let source = if looked && full { self.origin.filter(idle) } else { source };
         match (picked, source) {
             (Ok(cache), source) if !looked && (tight || source.is_none()) => {
                 self.held[place].looked = true;
                 self.push(now, place, (cache, cache), Self::after_look, out)
             }
-            (Ok(cache), Some(source)) if !(looked && full) => {
-                self.push(now, place, (cache, source), Self::after_push, out)
-            }
+            (Ok(cache), Some(source)) => self.push(now, place, (cache, source), Self::after_push, out),
             // No cache of the zone is well, or all are cold: straight to the source where that is allowed,
             // over the same link in and so within the same limits.
             (Err(false), Some(s)) if self.may.straight && !full && self.may_repeat_at(now, place, s) => {
@@ -721,8 +723,9 @@
             let trial = if p.role == Role::Cache || told { 1 } else { 6 };
             let p = &mut self.peers[c];
             out.log(format_args!("{:?} {} left alone for {} ms", p.role, p.id, p.held_for / 10));
-            (p.held_until, p.held_for, p.trial) =
-                (now + p.held_for, (p.held_for * 2).min(Self::HOLDS[1]), trial);
+            // Longer where this front asks it more rarely: a hold must spare some pushes to be worth a trial.
+            (p.held_until, p.trial) = (now + (p.held_for as f64 * self.crew.sqrt()) as Tenths, trial);
+            p.held_for = (p.held_for * 2).min(Self::HOLDS[1]);
         }
     }
 
