--- a/src/control.rs
+++ b/src/control.rs
@@ -28,7 +28,6 @@
     to: (usize, usize),
     at: Tenths,
     work: f64,
-    /// How it ended; none while it is out.
     ended: Option<Outcome>,
     overdue: bool,
     /// Expected to need a fill over the zone's link in.
@@ -291,11 +290,11 @@
         let filling = self.filling.mean(now, self.over);
         let (tight, full) = (filling >= 0.5 * limit, filling >= limit * self.held[place].keen);
         let picked = self.pick_cache(now, place, mean);
-        // One that has just started holds nothing, and a look costs as much of its budget as a fill.
+        // One just started holds nothing, and a look costs as much of its budget as a fill.
         let empty = |c| self.cold_age(now, c).is_some_and(|(_, age)| age < 0.5);
         let looked = looked || source.is_some() && picked.is_ok_and(empty);
-        // Past the limit it is the origin, while under a fifth of what it may have out is: parents that grow
-        // slow lower the limit long before they are told from the link.
+        // Past the limit it is the origin, while under a fifth of what it may have out is: slow parents lower
+        // the limit long before they are told from the link.
         let idle = |&o: &usize| self.well(now, o) && self.used(now, o) < 0.2;
         let source = if looked && full { self.origin.filter(idle) } else { source };
         match (picked, source) {
@@ -520,7 +519,7 @@
                 // Four at least in a zone, so that it can tell when fills are quick again.
                 self.fill_limit = (self.fill_limit * Self::FALL).max(4.0 / self.crew);
             }
-            hops(to).for_each(|c| self.lower(c));
+            hops(to).for_each(|c| self.lower(c, fill && c == cache));
         }
         let source_ill = source != cache && !self.well(now, source);
         let ill = source_ill || !self.well(now, cache);
@@ -621,12 +620,14 @@
     const HOLDS: [Tenths; 2] = [2_500, 10_000];
     /// Limits follow what is answered in time: each answer in time while half the limit is in use raises it
     /// by a tenth of a push over the front's crew, each push past its soft limit lowers it by a tenth. They
-    /// are this front's part of the zone's, which is two at least, so that one can always tell.
+    /// are this front's part of the zone's, which is two at least. A late fill says less of its cache, the
+    /// more fronts share the link that may have made it late.
     const RAISE: f64 = 0.1;
     const FALL: f64 = 0.9;
 
-    fn lower(&mut self, c: usize) {
-        self.peers[c].limit = (self.peers[c].limit * Self::FALL).max(2.0 / self.crew);
+    fn lower(&mut self, c: usize, filled: bool) {
+        let fall = if filled { Self::FALL.powf(1.0 / self.crew.sqrt()) } else { Self::FALL };
+        self.peers[c].limit = (self.peers[c].limit * fall).max(2.0 / self.crew);
     }
 
     /// Share of a member's limit that is in use.
@@ -691,14 +692,14 @@
                     {
                         hops(to).for_each(|c| self.mark(now, c, 2.0 * Self::MARK, out));
                     }
-                    _ if e.outcome == Outcome::Full => self.lower(cache),
+                    _ if e.outcome == Outcome::Full => self.lower(cache, false),
                     _ => {}
                 }
             }
         }
     }
 
-    /// Fit for ordinary pushes: not left alone, or on trial with no push out to tell yet.
+    /// Not left alone, or on trial with no push out to tell yet.
     fn well(&self, now: Tenths, c: usize) -> bool {
         let p = &self.peers[c];
         p.held_until <= now && (p.trial == 0 || p.out.count == 0.0)
@@ -723,7 +724,7 @@
             let trial = if p.role == Role::Cache || told { 1 } else { 6 };
             let p = &mut self.peers[c];
             out.log(format_args!("{:?} {} left alone for {} ms", p.role, p.id, p.held_for / 10));
-            // Longer where this front asks it more rarely: a hold must spare some pushes to be worth a trial.
+            // Longer where this front asks more rarely: a hold must spare some pushes to be worth a trial.
             (p.held_until, p.trial) = (now + (p.held_for as f64 * self.crew.sqrt()) as Tenths, trial);
             p.held_for = (p.held_for * 2).min(Self::HOLDS[1]);
         }
