An origin that refuses is asked one fill in 0.2 s a zone; parents give what they hold

Change: within two seconds of such a refusal fills past one in 0.2 s a zone ask the home parent only for what it holds (how bit 2), no refused fill is tried at another parent, and the fill limit falls as for a late fill. It may hurt where the origin refuses a few calls by chance: two seconds of looks.

--- a/crates/benchlink/src/writer.rs
+++ b/crates/benchlink/src/writer.rs
@@ -45,7 +45,7 @@
 
 impl Outlet for Writer {
     fn push(&mut self, p: &Push<'_>) {
-        let how = u8::from(p.join) | u8::from(p.renew) << 3;
+        let how = u8::from(p.join) | u8::from(p.kept_only) << 1 | u8::from(p.renew) << 3;
         let who = std::mem::take(&mut self.who);
         self.put(format_args!(
             "serve_via i={who} requestId={} how={how} fromWhere={} storeAs={} cache={} maxWait={}",
--- a/src/control.rs
+++ b/src/control.rs
@@ -27,7 +27,6 @@
     /// The cache and the source; the cache itself where nothing is to be filled.
     to: (usize, usize),
     at: Tenths,
-    work: f64,
     ended: Option<Outcome>,
     overdue: bool,
     /// Expected to need a fill over the zone's link in.
@@ -43,16 +42,15 @@
     soft_at: Tenths,
     /// How much of a limit it may use: more, the more benefit it brings for its work.
     keen: f64,
-    /// The zone's caches most likely lack it.
     lacks: bool,
     rank: u8,
     renew: bool,
     sent: ArrayVec<Sent, MOST_PUSHES>,
     looked: bool,
+    kept: bool,
     done: bool,
 }
 
-/// What is remembered of one part of one object.
 struct Fill {
     at: Tenths,
     seen: Tenths,
@@ -60,7 +58,6 @@
 
 struct Class {
     of: Offering,
-    /// Mean sending time as seen.
     mean: f64,
     /// Stretches the time after which a push is overdue, so that a twentieth are in ordinary times.
     patience: f64,
@@ -91,7 +88,6 @@
     /// Good answers it still owes after it was left alone.
     trial: u32,
     out: Level,
-    out_work: f64,
     answered: Tenths,
     /// Pushes that grew overdue since the last answer.
     hush: u32,
@@ -101,13 +97,6 @@
     spent: Fading,
 }
 
-impl Peer {
-    fn let_go(&mut self, now: Tenths, over: f64, work: f64) {
-        self.out.add(now, over, -f64::from(u8::from(work > 0.0)));
-        self.out_work = (self.out_work - work).max(0.0);
-    }
-}
-
 pub struct Front {
     classes: Vec<Class>,
     zone: usize,
@@ -140,6 +129,9 @@
     spare_pushes: f64,
     start_limit: f64,
     fill_limit: f64,
+    /// When the origin refused last, and when to ask it again.
+    refused_at: Tenths,
+    probe_at: Tenths,
     filling: Level,
     /// Counts of what is out are averaged over this.
     over: f64,
@@ -187,6 +179,8 @@
             spare_pushes: 10.0,
             start_limit,
             fill_limit: 2.0 * start_limit,
+            refused_at: 0,
+            probe_at: 0,
             filling: Level::default(),
             // 50 ms for each further front: a count of its own few accesses is chance, an average is not.
             over: 500.0 * (f64::from(s.crew) - 1.0),
@@ -223,7 +217,6 @@
             (p.zone, p.cell, p.gone) = (m.zone, m.cell, m.standing != Standing::Listed);
             p.weight = if self.weights && m.weight > 0.0 { m.weight } else { 1.0 };
             if m.started > p.started {
-                // It runs again: what was held against it was about the process before.
                 (p.started, p.bad, p.held_until, p.trial) = (m.started, 0.0, now, 0);
                 (p.limit, p.spent) = (self.start_limit, Fading::default());
             }
@@ -254,12 +247,11 @@
         // From half a limit for the least benefit to one and a half for the most: under overload the lowest
         // benefit for its work goes first, and no offering is shut out.
         let keen = (0.5 + 0.5 * density / self.density).min(1.5);
-        // Further pushes are paid from a fund, a fifth of an access for each, saved up for twenty at most, so
-        // that a shared trouble can't multiply the load.
+        // Further pushes are paid from a fund, so that a shared trouble can't multiply the load.
         self.spare_pushes = (self.spare_pushes + 0.2).min(20.0);
         let (lacks, rank, renew) = self.remember(now, a);
-        let (sent, looked, done) = (ArrayVec::new(), false, false);
-        let held = Held { access: *a, work, soft_at, keen, lacks, rank, renew, sent, looked, done };
+        let (sent, looked, kept, done) = (ArrayVec::new(), false, false, false);
+        let held = Held { access: *a, work, soft_at, keen, lacks, rank, renew, sent, looked, kept, done };
         let place = self.held.insert(held);
         self.places.insert(a.id, place);
         self.route(now, place, out);
@@ -283,28 +275,37 @@
         let source = self.pick_source(now, place, mean);
         // Exception to the ordinary path: a full link in feeds on itself, since fills that come too late are
         // not kept and are missed again. Fills have a limit of their own, learned like a cache's; from half
-        // of it on, an access first asks the cache for what it holds, and is filled only on a miss and while
-        // there is room. The same where no source can be named. Covers a slow or crowded link, parent or
-        // origin, mass purges, cold zones and one-off objects; costs a round trip.
+        // of it on, or with no source to name, an access first asks the cache what it holds, and is filled
+        // on a miss while there is room. Covers a slow or crowded link, parent or origin, mass purges, cold
+        // zones and one-off objects; costs a round trip.
         let (limit, looked) = (self.fill_limit, self.held[place].looked);
         let filling = self.filling.mean(now, self.over);
-        let (tight, full) = (filling >= 0.5 * limit, filling >= limit * self.held[place].keen);
+        // Where the origin refused within two seconds, one fill in 0.2 s a zone finds out whether it still does.
+        let refused = now < self.refused_at + 20_000;
+        let tight = refused || filling >= 0.5 * limit;
+        let full = if refused { now < self.probe_at } else { filling >= limit * self.held[place].keen };
         let picked = self.pick_cache(now, place, mean);
         // One just started holds nothing, and a look costs as much of its budget as a fill.
         let empty = |c| self.cold_age(now, c).is_some_and(|(_, age)| age < 0.5);
         let looked = looked || source.is_some() && picked.is_ok_and(empty);
-        // Past the limit it is the origin, while under a fifth of what it may have out is: slow parents lower
-        // the limit long before they are told from the link.
-        let idle = |&o: &usize| self.well(now, o) && self.used(now, o) < 0.2;
-        let source = if looked && full { self.origin.filter(idle) } else { source };
+        // Past the limit it is the origin, while under a tenth of what it may have out is: slow parents lower
+        // the limit long before they are told from the link. While the origin refuses, a parent is asked for
+        // no more than what it holds.
+        let kept = looked && full && refused;
+        let source = match looked && full {
+            true if kept => source.filter(|&s| self.peers[s].role == Role::Parent),
+            true => self.origin.filter(|&o| self.has_room(now, o, 0.1)),
+            false => source,
+        };
+        self.held[place].kept = kept;
+        self.probe_at = if full || !looked { self.probe_at } else { now + (2_000.0 * self.crew) as Tenths };
         match (picked, source) {
             (Ok(cache), source) if !looked && (tight || source.is_none()) => {
                 self.held[place].looked = true;
                 self.push(now, place, (cache, cache), Self::after_look, out)
             }
             (Ok(cache), Some(source)) => self.push(now, place, (cache, source), Self::after_push, out),
-            // No cache of the zone is well, or all are cold: straight to the source where that is allowed,
-            // over the same link in and so within the same limits.
+            // No cache of the zone is well, or all are cold: straight to the source, over the same link in.
             (Err(false), Some(s)) if self.may.straight && !full && self.may_repeat_at(now, place, s) => {
                 let from = if self.peers[s].role == Role::Parent { self.origin.unwrap_or(s) } else { s };
                 self.push(now, place, (s, from), Self::after_push, out)
@@ -345,9 +346,9 @@
     /// Where there is none: whether a well one was merely crowded.
     fn pick_cache(&self, now: Tenths, place: usize, mean: f64) -> Result<usize, bool> {
         let h = &self.held[place];
-        let (mut all, mut weights) = (mean, 0.0);
+        let (mut all, mut weights) = (1.0, 0.0);
         for p in self.caches.iter().map(|&c| &self.peers[c]).filter(|p| p.held_until <= now && p.trial == 0) {
-            all += p.out_work;
+            all += p.out.count;
             weights += p.weight;
         }
         // Overload: what can't be answered in time is turned down before it takes up what could be.
@@ -367,14 +368,14 @@
             // Covers slow and silent caches, hot objects and uneven hashing; costs second copies. A quarter
             // over its share and two accesses: less spills too much, more leaves hot caches late.
             let share = all * p.weight / f64::max(weights, p.weight);
-            Some(u8::from(p.out_work + mean > 1.25 * share + 2.0 * mean))
+            Some(u8::from(p.out.count > 1.25 * share + 1.0))
         });
         best.map(|b| b.1).ok_or_else(|| self.caches.iter().any(|&c| self.well(now, c) && crowded(c)))
     }
 
-    /// The object's first parent in one hash over all listed parents, the same at every front; past it only
-    /// where that one is ill, failed this access, is cold and over budget, or has more out than it answers in
-    /// time. Then the origin, within its own limit, so that it outlives the loss of the parents.
+    /// The object's first parent in one hash over all listed parents; past it only where that one is ill,
+    /// failed this access, is cold and over budget, or has more out than it answers in time. Then the origin,
+    /// within its own limit, so that it outlives the loss of the parents.
     fn pick_source(&self, now: Tenths, place: usize, mean: f64) -> Option<usize> {
         let h = &self.held[place];
         let best = self.first(h.access.object, &self.parents, |c| match c {
@@ -383,13 +384,13 @@
             _ if !self.well(now, c) => Some(2),
             _ => Some(u8::from(self.used(now, c) >= 1.0)),
         });
-        let fits = |&o: &usize| self.well(now, o) && self.used(now, o) < 1.0;
-        best.filter(|b| b.0 == 0).map(|b| b.1).or(self.origin.filter(fits)).or(best.map(|b| b.1))
+        let origin = self.origin.filter(|&o| self.has_room(now, o, 1.0));
+        best.filter(|b| b.0 == 0).map(|b| b.1).or(origin).or(best.map(|b| b.1))
     }
 
     fn push(&mut self, now: Tenths, place: usize, to: (usize, usize), next: Next, out: &mut dyn Outlet) {
         let h = &self.held[place];
-        let Held { access: a, lacks, rank, renew, .. } = *h;
+        let Held { access: a, lacks, rank, renew, kept: kept_only, .. } = *h;
         let class = &self.classes[a.offering];
         let (work, uncacheable) = (class.mean.max(1.0), class.of.uncacheable);
         /// Freshness threshold: the paper's basic case.
@@ -415,22 +416,19 @@
             let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b);
             let p = &mut self.peers[c];
             p.out.add(now, self.over, 1.0);
-            p.out_work += work;
             p.spent = Fading { sum: p.spent.left(now, leak) + work, at: now };
         }
-        let sent = Sent { to, at: now, work, ended: None, overdue: false, fill, source_failed: false, next };
+        let sent = Sent { to, at: now, ended: None, overdue: false, fill, source_failed: false, next };
         self.held[place].sent.push(sent);
         let (cache, source) = (&*self.peers[to.0].id, &*self.peers[to.1].id);
         let (wait, join) = (a.until - self.margin - now, self.may.joins && !uncacheable);
-        out.push(&Push { access: a.id, cache, source, wait, age, rank, join, renew });
+        out.push(&Push { access: a.id, cache, source, wait, age, rank, join, renew, kept_only });
     }
 
-    /// The design's estimate for this part: whether the zone's caches most likely lack it (never seen here,
-    /// or not for longer than copies are likely to be kept unused: a first guess, which looks and answers
-    /// correct), at which rank to keep it, and whether to renew it behind.
+    /// The design's estimate for this part: whether the zone's caches most likely lack it (not seen here for
+    /// as long as copies are likely kept unused: a guess), its rank, and whether to renew it behind.
     fn remember(&mut self, now: Tenths, a: &Access) -> (bool, u8, bool) {
-        /// Retrieval threshold, a share of the fresh time: the cap, as caches renew only in a copy's last
-        /// fifth.
+        /// Retrieval threshold, a share of the fresh time: the cap; caches renew only in the last fifth.
         const BETA: f64 = 0.2;
         /// Some minutes of distinct parts at a front; a part that was dropped is taken for just filled.
         const MOST_FILLS: usize = 1 << 16;
@@ -463,10 +461,10 @@
             return;
         };
         sent.ended = Some(e.outcome);
-        let Sent { to, work, next, .. } = *sent;
+        let Sent { to, next, .. } = *sent;
         let fill = f64::from(u8::from(sent.fill));
         self.filling.add(now, self.over, -fill);
-        hops(to).for_each(|c| self.peers[c].let_go(now, self.over, work));
+        hops(to).for_each(|c| self.peers[c].out.add(now, self.over, -1.0));
         if matches!(e.outcome, Outcome::Handled | Outcome::Error | Outcome::Full | Outcome::Miss) {
             self.heard(now, to.0);
         }
@@ -494,15 +492,14 @@
             return;
         }
         let cost = if e.outcome.proves_unrun() { 0.25 } else { 1.0 };
-        if self.spare_pushes < cost {
+        if self.spare_pushes < cost || e.note == Note::OriginFailed || self.held[place].kept {
             return self.finish(place, out);
         }
         self.spare_pushes -= cost;
         self.route(now, place, out);
     }
 
-    /// A push is out longer than is usual: a mark against all it names; if one of them now stands out, the
-    /// access is sent past it.
+    /// A push is out longer than usual: a mark against all it names; the access goes past those left alone.
     fn overdue(&mut self, now: Tenths, place: usize, number: usize, out: &mut dyn Outlet) {
         let h = &mut self.held[place];
         let (a, soft_at) = (h.access, h.soft_at);
@@ -630,7 +627,10 @@
         self.peers[c].limit = (self.peers[c].limit * fall).max(2.0 / self.crew);
     }
 
-    /// Share of a member's limit that is in use.
+    fn has_room(&self, now: Tenths, c: usize, share: f64) -> bool {
+        self.well(now, c) && self.used(now, c) < share
+    }
+
     fn used(&self, now: Tenths, c: usize) -> f64 {
         self.peers[c].out.mean(now, self.over) / self.peers[c].limit
     }
@@ -656,7 +656,7 @@
                 if in_time && sent.fill && self.filling.mean(now, self.over) >= 0.5 * self.fill_limit {
                     self.fill_limit += Self::RAISE / self.crew;
                 }
-                let (mean, overdue) = (class.mean, sent.overdue);
+                let mean = class.mean;
                 for c in hops(to) {
                     let busy = self.used(now, c) >= 0.5;
                     let p = &mut self.peers[c];
@@ -666,10 +666,6 @@
                 self.praise(now, cache);
                 if source != cache && (filled || self.notes != Notes::All) {
                     self.praise(now, source);
-                } else if source != cache && overdue {
-                    // It was a hit after all: the mark against the source is taken back.
-                    let p = &mut self.peers[source];
-                    p.bad = ((p.bad - Self::MARK) / (1.0 - Self::MARK)).max(0.0);
                 }
             }
             Outcome::Withdrawn | Outcome::NeverSent | Outcome::TimedOut => {}
@@ -680,8 +676,15 @@
                 self.mark(now, cache, 0.6, out);
             }
             Outcome::Error | Outcome::Full | Outcome::Miss => {
+                let origin = source != cache && self.peers[source].role == Role::Origin;
                 match e.note {
-                    Note::SourceRefused | Note::SourceLost | Note::OriginFailed if source != cache => {
+                    // The origin refuses behind all parents alike, and may do so until asked less: fills
+                    // fall to a few a second, and rise again with those that succeed.
+                    n if n == Note::OriginFailed || n == Note::SourceRefused && origin => {
+                        self.fill_limit = (self.fill_limit * Self::FALL).max(4.0 / self.crew);
+                        self.refused_at = now;
+                    }
+                    Note::SourceRefused | Note::SourceLost if source != cache => {
                         sent.source_failed = true;
                         self.mark(now, source, 2.0 * Self::MARK, out);
                     }
@@ -716,12 +719,9 @@
             return;
         }
         // Well past twice the others' share: chance alone does not get there (four deviations at this
-        // weight). A silent parent shows only in the missed third of the pushes that name it, unless hits are
-        // told apart; then the hits do not dilute its marks, and it takes more of them.
-        let told = p.role != Role::Cache && self.notes == Notes::All;
-        if self.stands_out(now, c) > if told { 0.32 } else { 0.16 } {
-            // Where hits can't be told from fills, a source proves itself only by several good answers.
-            let trial = if p.role == Role::Cache || told { 1 } else { 6 };
+        // weight). A source may have to do with a third of its pushes only, so it proves itself by several.
+        if self.stands_out(now, c) > 0.16 {
+            let trial = if p.role == Role::Cache { 1 } else { 3 };
             let p = &mut self.peers[c];
             out.log(format_args!("{:?} {} left alone for {} ms", p.role, p.id, p.held_for / 10));
             // Longer where this front asks more rarely: a hold must spare some pushes to be worth a trial.
@@ -774,7 +774,7 @@
     /// Of a cold member's budget this part leaks away steadily, a tenth of a window's may come in a burst.
     const COLD_LEAK: f64 = 0.65;
 
-    /// Which cold figures go for a member, and how far it has come since its start, if it is cold.
+    /// Which cold figures go for a member, and its share of its cold time, if it is cold.
     fn cold_age(&self, now: Tenths, c: usize) -> Option<(usize, f64)> {
         let p = &self.peers[c];
         let slot = [Role::Cache, Role::Parent].iter().position(|&r| r == p.role)?;
@@ -782,8 +782,8 @@
         (since < lasts).then(|| (slot, since as f64 / lasts as f64))
     }
 
-    /// What warm members of a role answer for this front is its part of what such a member carries. Members
-    /// not heard of while the rates are taken tell nothing: a zone that was lost must not forget its usual.
+    /// What warm members of a role answer for this front is its part of what such a member carries. Those not
+    /// heard of while the rates are taken tell nothing: a zone that was lost must not forget its usual.
     fn learn_usual(&mut self, now: Tenths, c: usize) {
         let slot = usize::from(self.peers[c].role == Role::Parent);
         let set = if slot == 1 { &self.parents } else { &self.caches };
--- a/src/face.rs
+++ b/src/face.rs
@@ -176,6 +176,8 @@
     pub rank: u8,
     pub join: bool,
     pub renew: bool,
+    /// The source gives only what it holds, and asks nobody.
+    pub kept_only: bool,
 }
 
 /// Where the decisions go.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -14,6 +14,7 @@
     pub age: Tenths,
     pub rank: u8,
     pub renew: bool,
+    pub kept_only: bool,
 }
 
 pub struct Told {
@@ -202,6 +203,7 @@
             age: p.age,
             rank: p.rank,
             renew: p.renew,
+            kept_only: p.kept_only,
         });
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -367,3 +367,35 @@
     world.pass(&mut front, 30_000);
     assert_eq!(world.follows, 2);
 }
+
+/// The origin refuses behind every parent until it is asked less: fills fall to a few, parents are asked for what
+/// they hold, nothing is tried elsewhere, and fills rise again once they succeed.
+#[test]
+fn an_origin_that_refuses_is_asked_less_and_found_again() {
+    let (mut world, mut front) = World::new(settings(), &zone(3, 3));
+    let (mut asked, mut kept, mut late) = (0, 0, 0);
+    for id in 0..6_000 {
+        world.access(&mut front, id, 1, 1_000_000 + id);
+        world.pass(&mut front, 100);
+        for push in 0..8 {
+            let Some(t) = world.told.get(&id).filter(|t| t.finals == 0 && t.pushes.len() > push) else {
+                break;
+            };
+            let (p, refuses) = (&t.pushes[push], (1_000..4_000).contains(&id));
+            let (outcome, note) = match () {
+                _ if p.cache == p.source => (Outcome::Miss, Note::Untold),
+                _ if p.kept_only => (Outcome::Miss, Note::SourceLacks),
+                _ if refuses => (Outcome::Full, Note::OriginFailed),
+                _ => (Outcome::Handled, Note::FilledByOrigin),
+            };
+            let settled = (2_000..4_000).contains(&id);
+            asked += u32::from(settled && note == Note::OriginFailed);
+            kept += u32::from(settled && p.kept_only);
+            late += u32::from(id >= 5_500 && outcome == Outcome::Handled);
+            world.end(&mut front, id, push, outcome, note);
+        }
+    }
+    assert!((5..400).contains(&asked), "asked {asked} times of 2000");
+    assert!(kept > 1_000, "parents asked for what they hold {kept} times");
+    assert!(late > 450, "{late} of 500 filled again");
+}
