Replaced members no longer grow the table; random runs at size, replaced and struck by the cell

A member that is gone and was asked nothing for a minute gives its place to the next new one; before, weeks of replacements would have grown the table for good. The random runs now draw crews of up to 300, replace members under new ids (at times a minute later) and strike whole cells at once. The adapter checks the class number itself.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -17,7 +17,8 @@
 type Census = Arc<[Member]>;
 
 struct Link {
-    fronts: FxHashMap<Box<str>, Front>,
+    /// Each with its number of classes.
+    fronts: FxHashMap<Box<str>, (Front, usize)>,
     censuses: FxHashMap<u64, Census>,
     writer: Writer,
 }
@@ -125,10 +126,11 @@
     let who = line.text("i")?;
     if tag == "power_on" {
         let settings = boot::settings(line.rest("bootInfo")?)?;
-        link.fronts.insert(who.into(), Front::new(&settings, line.whole("prng")?));
+        let front = Front::new(&settings, line.whole("prng")?);
+        link.fronts.insert(who.into(), (front, settings.offerings.len()));
         return Ok(());
     }
-    let front = link
+    let (front, classes) = link
         .fronts
         .get_mut(who)
         .ok_or_else(|| Bad(format!("field 'i': '{who}' does not run ('{tag}' before 'power_on')")))?;
@@ -145,7 +147,7 @@
                 kb: line.number_or("kb", 0.0)?,
                 until: line.time_down("notAfter")?,
             };
-            if !front.knows_offering(access.offering) {
+            if access.offering >= *classes {
                 return Err(Bad(format!("field 'band': no class {}", access.offering)));
             }
             front.access(now, &access, out);
--- a/src/control.rs
+++ b/src/control.rs
@@ -145,7 +145,7 @@
 
 impl Front {
     pub fn new(s: &Settings, seed: u64) -> Self {
-        // Until answers tell: half the soft limit, so that first estimates err on the long side.
+        // Until answers tell, half the soft limit: an estimate on the long side.
         let class = |o: &Offering| Class { of: o.clone(), mean: o.soft as f64 / 2.0, patience: 1.0 };
         // A guess that the answers soon correct: a score of pushes out at one cache, from all its fronts.
         let start_limit = 20.0 / f64::from(s.crew);
@@ -188,10 +188,6 @@
         }
     }
 
-    pub fn knows_offering(&self, offering: usize) -> bool {
-        offering < self.classes.len()
-    }
-
     // ---- the list of members
 
     pub fn listed(&mut self, now: Tenths, members: &[Member], full: bool, out: &mut dyn Outlet) {
@@ -208,11 +204,21 @@
                 _ if m.zone == self.zone => Role::Cache,
                 _ => continue,
             };
-            let at = *self.by_id.entry(m.id.clone()).or_insert_with(|| {
+            // Replacements must not grow the table: they take places of members gone and unasked for long.
+            let old = |p: &Peer| p.gone && p.out.count == 0.0 && p.out.at + 600_000 < now;
+            let known = self.by_id.get(&m.id).copied();
+            let at = known.or_else(|| self.peers.iter().position(old)).unwrap_or(self.peers.len());
+            if known.is_none() {
                 let (id, hash, limit) = (m.id.clone(), hash::text(&m.id), self.start_limit);
-                self.peers.push(Peer { id, hash, role, limit, held_for: Self::HOLDS[0], ..Peer::default() });
-                self.peers.len() - 1
-            });
+                let new = Peer { id, hash, role, limit, held_for: Self::HOLDS[0], ..Peer::default() };
+                if at < self.peers.len() {
+                    self.by_id.remove(&self.peers[at].id);
+                    self.peers[at] = new;
+                } else {
+                    self.peers.push(new);
+                }
+                self.by_id.insert(m.id.clone(), at);
+            }
             let p = &mut self.peers[at];
             (p.zone, p.cell, p.gone) = (m.zone, m.cell, m.standing != Standing::Listed);
             p.weight = if self.weights && m.weight > 0.0 { m.weight } else { 1.0 };
@@ -221,10 +227,8 @@
                 (p.limit, p.spent) = (self.start_limit, Fading::default());
             }
         }
-        let of = |role: Role| {
-            let listed = |&c: &usize| self.peers[c].role == role && !self.peers[c].gone;
-            (0..self.peers.len()).filter(listed).collect::<Vec<_>>()
-        };
+        let listed = |c: usize, role: Role| self.peers[c].role == role && !self.peers[c].gone;
+        let of = |role: Role| (0..self.peers.len()).filter(|&c| listed(c, role)).collect::<Vec<_>>();
         (self.caches, self.parents, self.origin) =
             (of(Role::Cache), of(Role::Parent), of(Role::Origin).first().copied());
     }
@@ -278,16 +282,15 @@
         // of it on, or with no source to name, an access first asks the cache what it holds, and is filled
         // on a miss while there is room. Covers a slow or crowded link, parent or origin, mass purges, cold
         // zones and one-off objects; costs a round trip.
-        let (limit, looked) = (self.fill_limit, self.held[place].looked);
-        let filling = self.filling.mean(now, self.over);
-        // Where the origin refused within two seconds, one fill in 0.2 s a zone finds out whether it still does.
+        let filling = self.filling.mean(now, self.over) / self.fill_limit;
+        // Where the origin refused within two seconds, one fill in 0.2 s a zone finds out if it still does.
         let refused = now < self.refused_at + 20_000;
-        let tight = refused || filling >= 0.5 * limit;
-        let full = if refused { now < self.probe_at } else { filling >= limit * self.held[place].keen };
+        let tight = refused || filling >= 0.5;
+        let full = if refused { now < self.probe_at } else { filling >= self.held[place].keen };
         let picked = self.pick_cache(now, place, mean);
         // One just started holds nothing, and a look costs as much of its budget as a fill.
         let empty = |c| self.cold_age(now, c).is_some_and(|(_, age)| age < 0.5);
-        let looked = looked || source.is_some() && picked.is_ok_and(empty);
+        let looked = self.held[place].looked || source.is_some() && picked.is_ok_and(empty);
         // Past the limit it is the origin, while under a tenth of what it may have out is: slow parents lower
         // the limit long before they are told from the link. While the origin refuses, a parent is asked for
         // no more than what it holds.
@@ -432,8 +435,7 @@
         const BETA: f64 = 0.2;
         /// Some minutes of distinct parts at a front; a part that was dropped is taken for just filled.
         const MOST_FILLS: usize = 1 << 16;
-        let (fresh, uncacheable) =
-            (self.classes[a.offering].of.fresh, self.classes[a.offering].of.uncacheable);
+        let Offering { fresh, uncacheable, .. } = self.classes[a.offering].of;
         if uncacheable {
             return (false, 0, false);
         }
@@ -453,8 +455,6 @@
         (true, 1, false)
     }
 
-    // ---- what comes back
-
     pub fn ended(&mut self, now: Tenths, id: AccessId, e: &Ended, out: &mut dyn Outlet) {
         let Some(&place) = self.places.get(&id) else { return };
         let Some(sent) = self.held[place].sent.get_mut(e.push).filter(|s| s.ended.is_none()) else {
@@ -462,8 +462,7 @@
         };
         sent.ended = Some(e.outcome);
         let Sent { to, next, .. } = *sent;
-        let fill = f64::from(u8::from(sent.fill));
-        self.filling.add(now, self.over, -fill);
+        self.filling.add(now, self.over, -f64::from(u8::from(sent.fill)));
         hops(to).for_each(|c| self.peers[c].out.add(now, self.over, -1.0));
         if matches!(e.outcome, Outcome::Handled | Outcome::Error | Outcome::Full | Outcome::Miss) {
             self.heard(now, to.0);
@@ -499,7 +498,7 @@
         self.route(now, place, out);
     }
 
-    /// A push is out longer than usual: a mark against all it names; the access goes past those left alone.
+    /// A push is out longer than usual: it marks all it names; the access goes past those left alone.
     fn overdue(&mut self, now: Tenths, place: usize, number: usize, out: &mut dyn Outlet) {
         let h = &mut self.held[place];
         let (a, soft_at) = (h.access, h.soft_at);
@@ -585,7 +584,6 @@
         self.tidy(place);
     }
 
-    /// A stream has started: it belongs to the client from now on.
     pub fn begun(&mut self, now: Tenths, id: AccessId, push: usize) {
         let Some(&place) = self.places.get(&id) else { return };
         if let Some(sent) = self.held[place].sent.get(push) {
@@ -718,13 +716,12 @@
         if p.held_until > now {
             return;
         }
-        // Well past twice the others' share: chance alone does not get there (four deviations at this
-        // weight). A source may have to do with a third of its pushes only, so it proves itself by several.
+        // Chance alone does not get there. A source fills but a third of its pushes: three prove it.
         if self.stands_out(now, c) > 0.16 {
             let trial = if p.role == Role::Cache { 1 } else { 3 };
             let p = &mut self.peers[c];
             out.log(format_args!("{:?} {} left alone for {} ms", p.role, p.id, p.held_for / 10));
-            // Longer where this front asks more rarely: a hold must spare some pushes to be worth a trial.
+            // Longer where this front asks rarely: a hold must spare some pushes to be worth a trial.
             (p.held_until, p.trial) = (now + (p.held_for as f64 * self.crew.sqrt()) as Tenths, trial);
             p.held_for = (p.held_for * 2).min(Self::HOLDS[1]);
         }
@@ -771,10 +768,10 @@
 
     /// Some seconds: a few dozen pushes, yet short enough to follow a surge.
     const RATE_OVER: f64 = 40_000.0;
-    /// Of a cold member's budget this part leaks away steadily, a tenth of a window's may come in a burst.
+    /// Of a cold member's budget this part leaks away steadily, a quarter of a window's may come in a burst.
     const COLD_LEAK: f64 = 0.65;
 
-    /// Which cold figures go for a member, and its share of its cold time, if it is cold.
+    /// Which cold figures go for a member, and its share of its cold time; none if it is warm.
     fn cold_age(&self, now: Tenths, c: usize) -> Option<(usize, f64)> {
         let p = &self.peers[c];
         let slot = [Role::Cache, Role::Parent].iter().position(|&r| r == p.role)?;
--- a/src/fading.rs
+++ b/src/fading.rs
@@ -29,7 +29,8 @@
 pub struct Level {
     pub count: f64,
     mean: f64,
-    at: Tenths,
+    /// When it changed last.
+    pub at: Tenths,
 }
 
 impl Level {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -21,7 +21,7 @@
     let mut set = settings();
     set.may = Powers { joins: r.bool(), straight: r.bool(), cancels: r.bool(), second_copies: r.bool() };
     set.notes = notes[r.usize(..3)];
-    set.crew = r.u32(1..4);
+    set.crew = [1, 2, 5, 20, 300][r.usize(..5)];
     set.max_pushes = r.usize(1..9);
     set.weights = r.bool();
     set.advice = r.u64(..2) * 5_000;
@@ -70,6 +70,14 @@
                     if r.bool() {
                         m.started = Some(world.now);
                     }
+                    if m.standing != Standing::Listed && r.bool() {
+                        // Replaced under a new id, cold; at times so late that the old one's place is free.
+                        let gone = Member { standing: Standing::Gone, ..m.clone() };
+                        world.tell(&mut front, &[gone], false);
+                        world.pass(&mut front, [500, 700_000][usize::from(r.u8(..8) == 0)]);
+                        (m.id, m.standing) = (format!("new-{id}").into(), Standing::Listed);
+                        m.started = Some(world.now);
+                    }
                     let (one, all) = (vec![m.clone()], r.u8(..4) == 0);
                     if all {
                         // A whole list that leaves some out.
@@ -85,7 +93,16 @@
                 let object = Some(r.u64(..40)).filter(|_| r.bool());
                 world.purge(&mut front, object, r.u64(..4), r.u64(..300));
             }
-            _ => {}
+            _ => {
+                // A whole cell is struck at once: nothing at it ends well.
+                let (cell, how) = (r.u64(..2), [Unreachable, Broken, Error][r.usize(..3)]);
+                let struck = |p: &Out| p.ended.is_none() && world.list[&p.cache].cell == cell;
+                let out = |t: &Told| Some((t.access.id, t.pushes.iter().position(struck)?));
+                let all: Vec<_> = world.told.values().filter_map(out).collect();
+                for (id, push) in all {
+                    world.end(&mut front, id, push, how, Note::Untold);
+                }
+            }
         }
         world.pass(&mut front, r.u64(1..600));
     }
