--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,6 @@
 //! Every decision of a front. How to call it: make a [`Front`] from the settings, hand it each input as it
 //! comes (`listed`, `access`, `ended`, `due`, `left`, `purged`, ...) with the time now; it answers through
-//! the `Outlet`. The interface types are in `face.rs`. One front knows only what was handed to it; nothing is
-//! shared.
+//! the `Outlet`. The interface types are in `face.rs`. One front knows only what was handed to it.
 //!
 //! Ordinary path (docs/design.md): the object hashes to a cache of the zone, a miss is filled from its first
 //! parent in a hash over all listed parents; copies no older than fresh time - ALPHA will do; below BETA of
@@ -120,7 +119,7 @@
     held: Slab<Held>,
     places: FxHashMap<AccessId, usize>,
     fills: OldestFirst<(u64, u32), Fill>,
-    /// When an object (true) or a group was purged.
+    /// Of an object (true) or a group.
     purges: OldestFirst<(bool, u64), Tenths>,
     /// What a warm cache, and a warm parent, of weight 1 carries for this front.
     usual: [f64; 2],
@@ -138,7 +137,6 @@
     crew: f64,
 }
 
-/// Both members that a push names, once each.
 fn hops((cache, source): (usize, usize)) -> impl Iterator<Item = usize> {
     std::iter::once(cache).chain(Some(source).filter(move |&s| s != cache))
 }
@@ -224,7 +222,7 @@
             p.weight = if self.weights && m.weight > 0.0 { m.weight } else { 1.0 };
             if m.started > p.started {
                 (p.started, p.bad, p.held_until, p.trial) = (m.started, 0.0, now, 0);
-                (p.limit, p.spent) = (self.start_limit, Fading::default());
+                self.begin(now, at);
             }
         }
         let listed = |c: usize, role: Role| self.peers[c].role == role && !self.peers[c].gone;
@@ -248,8 +246,7 @@
         let soft_at = now + class.of.soft + (class.of.stretch * work) as Tenths;
         let density = class.of.benefit / work.max(1.0);
         self.density += (density - self.density) * if self.density == 0.0 { 1.0 } else { 1.0 / 64.0 };
-        // From half a limit for the least benefit to one and a half for the most: under overload the lowest
-        // benefit for its work goes first, and no offering is shut out.
+        // From half a limit to one and a half: under overload the lowest benefit for its work goes first.
         let keen = (0.5 + 0.5 * density / self.density).min(1.5);
         // Further pushes are paid from a fund, so that a shared trouble can't multiply the load.
         self.spare_pushes = (self.spare_pushes + 0.2).min(20.0);
@@ -285,7 +282,9 @@
         let filling = self.filling.mean(now, self.over) / self.fill_limit;
         // Where the origin refused within two seconds, one fill in 0.2 s a zone finds out if it still does.
         let refused = now < self.refused_at + 20_000;
-        let tight = refused || filling >= 0.5;
+        // A cold parent's budget is for what is surely missed, too.
+        let cold = source.is_some_and(|s| self.cold_age(now, s).is_some());
+        let tight = refused || cold || filling >= 0.5;
         let full = if refused { now < self.probe_at } else { filling >= self.held[place].keen };
         let picked = self.pick_cache(now, place, mean);
         // One just started holds nothing, and a look costs as much of its budget as a fill.
@@ -297,7 +296,7 @@
         let kept = looked && full && refused;
         let source = match looked && full {
             true if kept => source.filter(|&s| self.peers[s].role == Role::Parent),
-            true => self.origin.filter(|&o| self.has_room(now, o, 0.1)),
+            true => self.origin.filter(|&o| self.well(now, o) && self.used(now, o) < 0.1),
             false => source,
         };
         self.held[place].kept = kept;
@@ -368,8 +367,8 @@
                 return Some(2);
             }
             // Hashing with bounded loads: a cache with well over its share of unanswered work is passed over.
-            // Covers slow and silent caches, hot objects and uneven hashing; costs second copies. A quarter
-            // over its share and two accesses: less spills too much, more leaves hot caches late.
+            // Covers slow and silent caches, hot objects, uneven hashing; costs second copies. A quarter over
+            // its share and one push: less spills too much, more leaves hot caches late.
             let share = all * p.weight / f64::max(weights, p.weight);
             Some(u8::from(p.out.count > 1.25 * share + 1.0))
         });
@@ -387,7 +386,7 @@
             _ if !self.well(now, c) => Some(2),
             _ => Some(u8::from(self.used(now, c) >= 1.0)),
         });
-        let origin = self.origin.filter(|&o| self.has_room(now, o, 1.0));
+        let origin = self.origin.filter(|&o| self.well(now, o) && self.used(now, o) < 1.0);
         best.filter(|b| b.0 == 0).map(|b| b.1).or(origin).or(best.map(|b| b.1))
     }
 
@@ -416,7 +415,7 @@
         let fill = !uncacheable && (straight || to.0 != to.1 && (h.looked || lacks));
         self.filling.add(now, self.over, f64::from(u8::from(fill)));
         for c in hops(to) {
-            let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b);
+            let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b.0);
             let p = &mut self.peers[c];
             p.out.add(now, self.over, 1.0);
             p.spent = Fading { sum: p.spent.left(now, leak) + work, at: now };
@@ -512,7 +511,7 @@
         }
         if now >= soft_at {
             if fill && !hops(to).any(|c| self.stands_out(now, c) > 0.0) {
-                // Four at least in a zone, so that it can tell when fills are quick again.
+                // Four at least in a zone, to tell when fills are quick again.
                 self.fill_limit = (self.fill_limit * Self::FALL).max(4.0 / self.crew);
             }
             hops(to).for_each(|c| self.lower(c, fill && c == cache));
@@ -625,10 +624,6 @@
         self.peers[c].limit = (self.peers[c].limit * fall).max(2.0 / self.crew);
     }
 
-    fn has_room(&self, now: Tenths, c: usize, share: f64) -> bool {
-        self.well(now, c) && self.used(now, c) < share
-    }
-
     fn used(&self, now: Tenths, c: usize) -> f64 {
         self.peers[c].out.mean(now, self.over) / self.peers[c].limit
     }
@@ -645,9 +640,7 @@
                     fill.at = now;
                 }
                 let class = &mut self.classes[a.offering];
-                if !sent.overdue {
-                    class.patience = (class.patience * 0.999).max(0.5);
-                }
+                class.patience = (class.patience * if sent.overdue { 1.0 } else { 0.999 }).max(0.5);
                 if a.kb == 0.0 || self.flow == 0.0 {
                     class.mean += (e.lag as f64 - class.mean) / 64.0;
                 }
@@ -655,10 +648,11 @@
                     self.fill_limit += Self::RAISE / self.crew;
                 }
                 let mean = class.mean;
+                let meant = filled || sent.fill && self.notes != Notes::All;
                 for c in hops(to) {
                     let busy = self.used(now, c) >= 0.5;
                     let p = &mut self.peers[c];
-                    p.carries.count(now, Self::RATE_OVER, mean);
+                    p.carries.count(now, Self::RATE_OVER, if c == cache || meant { mean } else { 0.0 });
                     p.limit += if in_time && busy { Self::RAISE / self.crew } else { 0.0 };
                 }
                 self.praise(now, cache);
@@ -700,7 +694,7 @@
         }
     }
 
-    /// Not left alone, or on trial with no push out to tell yet.
+    /// Not left alone, or on trial with none out.
     fn well(&self, now: Tenths, c: usize) -> bool {
         let p = &self.peers[c];
         p.held_until <= now && (p.trial == 0 || p.out.count == 0.0)
@@ -746,8 +740,10 @@
     fn heard(&mut self, now: Tenths, c: usize) {
         let p = &mut self.peers[c];
         if p.hush >= 3 && p.answered + 10_000 < now {
-            (p.started, p.spent, p.limit) = (p.started.max(Some(now)), Fading::default(), self.start_limit);
+            p.started = p.started.max(Some(now));
+            self.begin(now, c);
         }
+        let p = &mut self.peers[c];
         (p.answered, p.hush) = (now, 0);
     }
 
@@ -764,13 +760,19 @@
         self.learn_usual(now, c);
     }
 
-    // ---- cold starts
-
-    /// Some seconds: a few dozen pushes, yet short enough to follow a surge.
+    /// A few dozen pushes, yet short enough to follow a surge.
     const RATE_OVER: f64 = 40_000.0;
     /// Of a cold member's budget this part leaks away steadily, a quarter of a window's may come in a burst.
     const COLD_LEAK: f64 = 0.65;
 
+    /// A member starts cold. Its budgets begin as if used all along, each front's at another point: the first
+    /// pushes of hundreds of fronts at once would push it over.
+    fn begin(&mut self, now: Tenths, c: usize) {
+        let longest = self.classes.iter().map(|c| c.mean).fold(0.0, f64::max);
+        let spent = Fading { sum: self.rng.f64() * longest, at: now };
+        (self.peers[c].limit, self.peers[c].spent) = (self.start_limit, spent);
+    }
+
     /// Which cold figures go for a member, and its share of its cold time; none if it is warm.
     fn cold_age(&self, now: Tenths, c: usize) -> Option<(usize, f64)> {
         let p = &self.peers[c];
@@ -780,7 +782,7 @@
     }
 
     /// What warm members of a role answer for this front is its part of what such a member carries. Those not
-    /// heard of while the rates are taken tell nothing: a zone that was lost must not forget its usual.
+    /// heard lately tell nothing: a zone that was lost must not forget its usual.
     fn learn_usual(&mut self, now: Tenths, c: usize) {
         let slot = usize::from(self.peers[c].role == Role::Parent);
         let set = if slot == 1 { &self.parents } else { &self.caches };
@@ -795,19 +797,17 @@
     }
 
     /// What this front may send a cold member at once, in transfers: `multiple` times its present share of
-    /// what such a member usually carries for this front; at least a tenth of one, so that it can begin.
-    fn cold_budget(&self, now: Tenths, c: usize) -> Option<f64> {
+    /// what such a one usually carries for it; a tenth of a transfer a zone at least, so that it can begin.
+    fn cold_budget(&self, now: Tenths, c: usize) -> Option<(f64, Tenths)> {
         let (slot, age) = self.cold_age(now, c)?;
         let set = &self.cold[slot];
-        let carries = (self.usual[slot] * self.peers[c].weight).max(0.1);
-        Some(set.multiple * (set.from + (1.0 - set.from) * age) * carries)
+        let carries = (self.usual[slot] * self.peers[c].weight).max(0.1 / self.crew);
+        Some((set.multiple * (set.from + (1.0 - set.from) * age) * carries, set.window))
     }
 
-    /// Whether one more push of this mean sending time keeps a cold member within this front's part.
     fn cold_room(&self, now: Tenths, c: usize, work: f64) -> bool {
-        let Some(budget) = self.cold_budget(now, c) else { return true };
-        let window = self.cold[usize::from(self.peers[c].role == Role::Parent)].window as f64;
+        let Some((budget, window)) = self.cold_budget(now, c) else { return true };
         let level = self.peers[c].spent.left(now, Self::COLD_LEAK * budget);
-        level == 0.0 || level + work <= 0.25 * budget * window
+        level == 0.0 || level + work <= 0.25 * budget * window as f64
     }
 }
