--- a/src/control.rs
+++ b/src/control.rs
@@ -762,8 +762,8 @@
 
     /// A few dozen pushes, yet short enough to follow a surge.
     const RATE_OVER: f64 = 40_000.0;
-    /// Of a cold member's budget this part leaks away steadily, a quarter of a window's may come in a burst.
-    const COLD_LEAK: f64 = 0.65;
+    /// Of a cold member's budget this part leaks away steadily, a fifth of a window's may come in a burst.
+    const COLD_LEAK: f64 = 0.5;
 
     /// A member starts cold. Its budgets begin as if used all along, each front's at another point: the first
     /// pushes of hundreds of fronts at once would push it over.
@@ -808,6 +808,6 @@
     fn cold_room(&self, now: Tenths, c: usize, work: f64) -> bool {
         let Some((budget, window)) = self.cold_budget(now, c) else { return true };
         let level = self.peers[c].spent.left(now, Self::COLD_LEAK * budget);
-        level == 0.0 || level + work <= 0.25 * budget * window as f64
+        level == 0.0 || level + work <= 0.2 * budget * window as f64
     }
 }
