--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -455,22 +455,21 @@
 #[test]
 fn a_lost_push_is_sent_again() {
     let (mut world, mut front) = World::new(settings(), &zone(3, 2));
-    let (mut late, mut lost) = (0, 0);
+    let mut in_time = 0;
     for id in 0..2_000 {
         world.access(&mut front, id, 1, id % 60);
         world.pass(&mut front, 400);
         let out = |t: &Told| {
-            let open = |(n, p): (usize, &Out)| p.ended.is_none() && (t.access.id + n as u64) % 5 != 0;
+            let open =
+                |(n, p): (usize, &Out)| p.ended.is_none() && !(t.access.id + n as u64).is_multiple_of(5);
             let push = t.pushes.iter().enumerate().position(open)?;
             Some((t.access.id, push)).filter(|_| t.finals == 0)
         };
         let all: Vec<_> = world.told.values().filter_map(out).collect();
-        for (id, push) in all {
-            world.end(&mut front, id, push, Outcome::Handled, Note::Hit);
+        for (at, push) in all {
+            in_time += u32::from(id >= 1_000 && world.now < world.told[&at].pushes[0].at + 4_000);
+            world.end(&mut front, at, push, Outcome::Handled, Note::Hit);
         }
-        let waits = |t: &&Told| t.finals == 0 && t.access.until < world.now + 10_000;
-        late += world.told.values().filter(waits).count() * usize::from(id > 1_000);
-        lost += usize::from(id > 1_000 && id % 5 == 0);
     }
-    assert!(late < 5 * lost, "{late} waits for {lost} lost pushes: at 25 each none was sent again");
+    assert!(in_time > 900, "{in_time} of 1000 answered within the soft limit");
 }
