--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -473,3 +473,52 @@
     }
     assert!(in_time > 900, "{in_time} of 1000 answered within the soft limit");
 }
+
+/// One of twenty fronts, while every fill comes late: its part of the zone's limit goes far under one fill at a time.
+#[test]
+fn a_front_of_many_fills_only_its_part() {
+    let (mut world, mut front) = World::new(Settings { crew: 20, ..settings() }, &zone(3, 2));
+    let mut filled = 0;
+    for id in 0..600 {
+        world.access(&mut front, id, 1, id);
+        world.pass(&mut front, 500);
+        for at in id.saturating_sub(13)..=id {
+            let Some(t) = world.told.get(&at).filter(|t| t.finals == 0) else { continue };
+            let push = t.pushes.len() - 1;
+            let look = t.pushes[push].cache == t.pushes[push].source;
+            if look {
+                world.end(&mut front, at, push, Outcome::Miss, Note::Untold);
+            } else if world.now > t.pushes[push].at + 6_000 {
+                filled += u32::from(id >= 400);
+                world.end(&mut front, at, push, Outcome::Handled, Note::Filled);
+            }
+        }
+    }
+    assert!((1..=30).contains(&filled), "{filled} of 200 filled in ten seconds, late");
+}
+
+/// Both parents fall silent while the origin answers: they don't hide each other, and it takes over.
+#[test]
+fn two_silent_parents_do_not_hide_each_other() {
+    for notes in [Notes::All, Notes::Never] {
+        let (mut world, mut front) = World::new(Settings { notes, crew: 5, ..settings() }, &zone(3, 2));
+        let mut in_time = 0;
+        for id in 0..1_200 {
+            world.access(&mut front, id, 1, id);
+            world.pass(&mut front, 1_000);
+            let answers = |p: &Out| id < 200 || p.source == "origin" || p.source == p.cache;
+            let out = |t: &Told| {
+                Some((t.access.id, t.pushes.iter().position(|p| p.ended.is_none() && answers(p))?))
+            };
+            let all: Vec<_> = world.told.values().filter(|t| t.finals == 0).filter_map(out).collect();
+            for (at, push) in all {
+                let p = &world.told[&at].pushes[push];
+                let (look, first) = (p.source == p.cache, world.told[&at].pushes[0].at);
+                in_time += u32::from(at >= 600 && !look && world.now < first + 5_000);
+                let outcome = if look { Outcome::Miss } else { Outcome::Handled };
+                world.end(&mut front, at, push, outcome, Note::Filled);
+            }
+        }
+        assert!(in_time > 400, "{notes:?}: {in_time} of 600 by way of the origin");
+    }
+}
