--- a/src/control.rs
+++ b/src/control.rs
@@ -693,7 +693,6 @@
         }
     }
 
-    /// Not left alone, or on trial with none out.
     fn well(&self, now: Tenths, c: usize) -> bool {
         let p = &self.peers[c];
         p.held_until <= now && (p.trial == 0 || p.out.count == 0.0)
@@ -709,8 +708,9 @@
         if p.held_until > now {
             return;
         }
-        // Chance alone does not get there. A source fills but a third of its pushes: three prove it.
-        if self.stands_out(now, c) > 0.16 {
+        // Chance alone does not get there; marks stay on a told source though it was a hit. Three prove one.
+        let told = p.role != Role::Cache && self.notes == Notes::All;
+        if self.stands_out(now, c) > if told { 0.4 } else { 0.16 } {
             let trial = if p.role == Role::Cache { 1 } else { 3 };
             let p = &mut self.peers[c];
             out.log(format_args!("{:?} {} left alone for {} ms", p.role, p.id, p.held_for / 10));
