--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,7 +1,7 @@
 //! Runs doorgrade's decisions on the bench's line wire: standard input to calls, answers to standard output.
 
-mod boot;
 mod line;
+mod words;
 mod writer;
 
 use std::io::{self, BufRead, Write};
@@ -125,7 +125,9 @@
     let tag = line.tag();
     let who = line.text("i")?;
     if tag == "power_on" {
-        let settings = boot::settings(line.rest("bootInfo")?)?;
+        let settings = doorgrade_settings::read(line.rest("bootInfo")?)
+            .map_err(|e| Bad(format!("field 'bootInfo': {e}")))?
+            .settings;
         let front = Front::new(&settings, line.whole("prng")?);
         link.fronts.insert(who.into(), (front, settings.offerings.len()));
         return Ok(());
@@ -155,10 +157,10 @@
         "ended" => {
             let ended = Ended {
                 push: line.whole_or("sendNo", 0)? as usize,
-                outcome: boot::outcome(line.text("rc")?)?,
+                outcome: words::outcome(line.text("rc")?)?,
                 settled: line.flag("settled")?,
                 lag: line.time_down("lag")?,
-                note: boot::note(line.whole_or("info", 0)?)?,
+                note: words::note(line.whole_or("info", 0)?)?,
             };
             front.ended(now, line.whole("requestId")?, &ended, out);
         }
--- /dev/null
+++ b/crates/front/src/clock.rs
@@ -0,0 +1,55 @@
+//! Time: the system's Unix clock in tenths of a millisecond, never backwards; and what is to happen when.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use doorgrade::Tenths;
+
+/// The system's Unix clock as it stands.
+pub fn unix() -> Tenths {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros() / 100).unwrap_or(u64::MAX)
+}
+
+#[derive(Default)]
+pub struct Clock {
+    last: Tenths,
+}
+
+impl Clock {
+    pub fn now(&mut self) -> Tenths {
+        self.last = self.last.max(unix());
+        self.last
+    }
+}
+
+/// Things to do later, the earliest first, in the order asked where times are equal.
+pub struct Timers<T> {
+    heap: BinaryHeap<Reverse<(Tenths, u64, T)>>,
+    asked: u64,
+}
+
+impl<T: Ord> Default for Timers<T> {
+    fn default() -> Self {
+        Timers { heap: BinaryHeap::new(), asked: 0 }
+    }
+}
+
+impl<T: Ord> Timers<T> {
+    pub fn set(&mut self, at: Tenths, what: T) {
+        self.asked += 1;
+        self.heap.push(Reverse((at, self.asked, what)));
+    }
+
+    pub fn next(&self) -> Option<Tenths> {
+        self.heap.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    pub fn due(&mut self, now: Tenths) -> Option<T> {
+        if self.next()? > now {
+            return None;
+        }
+        self.heap.pop().map(|Reverse((.., what))| what)
+    }
+}
--- /dev/null
+++ b/crates/front/src/conn.rs
@@ -0,0 +1,153 @@
+//! The coroutine of one connection. It reads and writes as it is told, and reports; it decides nothing.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, Sender, SyncSender, TryRecvError, sync_channel};
+use std::time::Duration;
+
+use doorgrade::Tenths;
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+
+use crate::clock;
+use crate::ring::Ring;
+
+pub type ConnId = u64;
+
+/// What comes from outside, in the order in which it came.
+pub enum Event {
+    /// A client's connection is up.
+    Accepted(ConnId, Port),
+    /// One that was asked for is up, or can't be made.
+    Connected(ConnId, io::Result<Port>),
+    /// Some bytes were read, or none will come any more.
+    Read { conn: ConnId, ring: Ring, ended: bool, at: Tenths },
+    /// All of the ring was written, or no more can be.
+    Wrote { conn: ConnId, ring: Ring, failed: bool },
+    /// The descriptor is given back.
+    Closed(ConnId),
+    /// The operators' word to stop.
+    Stop,
+}
+
+enum Job {
+    Read(Ring),
+    Write(Ring),
+}
+
+/// The other end of a connection's coroutine; dropped, it closes the connection.
+pub struct Port {
+    jobs: Option<SyncSender<Job>>,
+    waker: WaitIoWaker,
+}
+
+impl Port {
+    pub fn read(&self, ring: Ring) {
+        self.ask(Job::Read(ring));
+    }
+
+    pub fn write(&self, ring: Ring) {
+        self.ask(Job::Write(ring));
+    }
+
+    /// There is one ring a direction, so two jobs at the most; one whose coroutine has ended is reported closed.
+    fn ask(&self, job: Job) {
+        if let Some(jobs) = &self.jobs {
+            let _ = jobs.try_send(job);
+        }
+        self.waker.wakeup();
+    }
+}
+
+impl Drop for Port {
+    fn drop(&mut self) {
+        self.jobs = None;
+        self.waker.wakeup();
+    }
+}
+
+/// Starts a coroutine on the one worker.
+#[allow(unsafe_code)] // The crate's spawn asks for it: none of ours uses thread-locals or much stack.
+pub fn spawn(run: impl FnOnce() + Send + 'static) {
+    may::go!(run);
+}
+
+pub fn connect(conn: ConnId, to: SocketAddr, within: Duration, events: Sender<Event>) {
+    spawn(move || match TcpStream::connect_timeout(&to, within) {
+        Ok(stream) => serve(conn, stream, &events, |port| Event::Connected(conn, Ok(port))),
+        Err(error) => report(&events, Event::Connected(conn, Err(error))),
+    });
+}
+
+/// Runs a connection until its port is dropped.
+pub fn serve(conn: ConnId, stream: TcpStream, events: &Sender<Event>, up: impl FnOnce(Port) -> Event) {
+    // Answers are written whole; holding back a last small segment would only delay them.
+    let _ = stream.set_nodelay(true);
+    let (jobs, asked) = sync_channel(2);
+    report(events, up(Port { jobs: Some(jobs), waker: stream.waker() }));
+    pump(conn, &stream, &asked, events);
+    drop(stream);
+    report(events, Event::Closed(conn));
+}
+
+/// Fails only when the program is on its way out.
+fn report(events: &Sender<Event>, event: Event) {
+    let _ = events.send(event);
+}
+
+fn pump(conn: ConnId, stream: &TcpStream, asked: &Receiver<Job>, events: &Sender<Event>) {
+    let (mut reading, mut writing) = (None, None);
+    loop {
+        loop {
+            match asked.try_recv() {
+                Ok(Job::Read(ring)) => reading = Some(ring),
+                Ok(Job::Write(ring)) => writing = Some(ring),
+                Err(TryRecvError::Empty) => break,
+                Err(TryRecvError::Disconnected) => return,
+            }
+        }
+        if let Some(mut ring) = writing.take() {
+            match write(stream, &mut ring) {
+                Ok(()) => report(events, Event::Wrote { conn, ring, failed: false }),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => writing = Some(ring),
+                Err(_) => report(events, Event::Wrote { conn, ring, failed: true }),
+            }
+        }
+        if let Some(mut ring) = reading.take() {
+            let before = ring.len();
+            let end = read(stream, &mut ring);
+            let ended = end.as_ref().is_err_and(|e| e.kind() != ErrorKind::WouldBlock);
+            if ring.len() > before || ended {
+                report(events, Event::Read { conn, ring, ended, at: clock::unix() });
+            } else {
+                reading = Some(ring);
+            }
+        }
+        stream.wait_io();
+    }
+}
+
+fn write(stream: &TcpStream, ring: &mut Ring) -> io::Result<()> {
+    while !ring.is_empty() {
+        match stream.inner().write(ring.front()) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(count) => ring.consume(count),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Reads until the ring is full or nothing is there; an error when nothing will come.
+fn read(stream: &TcpStream, ring: &mut Ring) -> io::Result<()> {
+    while ring.free() > 0 {
+        match stream.inner().read(ring.back()) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(count) => ring.filled(count),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/front/src/intake.rs
@@ -0,0 +1,249 @@
+//! A client's connection as it is read: records become requests. No I/O.
+
+use rustc_hash::FxHashMap;
+
+use crate::fastcgi::{self, Decoder};
+use crate::http;
+use crate::ring::Ring;
+
+/// Protocol facts: open requests on a connection, and what a write brings at most.
+pub const MOST_OPEN: usize = 32;
+pub const MOST_WRITE: usize = 48_000;
+/// All parameters of a request together; web servers send a few hundred bytes.
+const MOST_PARAMS: usize = 16 * 1024;
+
+/// A request that can be used.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    pub offering: String,
+    pub id: String,
+    pub wait_ms: u64,
+    pub key: String,
+    pub object: u64,
+    pub part: u32,
+    pub group: u64,
+    pub kb: f64,
+    pub tag: Option<String>,
+    pub body: Vec<u8>,
+}
+
+/// What a client has said.
+#[derive(Debug, PartialEq)]
+pub enum Said {
+    Ask(u16, Box<Request>),
+    /// Whether the front is ready.
+    Check(u16),
+    /// A request that can't be used: its status, and why.
+    Unusable(u16, u16, &'static str),
+    Abort(u16),
+    /// A request that is over before it began, by this protocol status.
+    Over(u16, u8),
+    /// An answer to a record that manages the connection.
+    Reply(Vec<u8>),
+}
+
+#[derive(Debug, Default)]
+struct Coming {
+    params: Vec<u8>,
+    params_done: bool,
+    body: Vec<u8>,
+    /// Too long, in its parameters or its body.
+    excess: bool,
+}
+
+/// The reading half of a client's connection.
+#[derive(Debug, Default)]
+pub struct Intake {
+    decoder: Decoder,
+    /// Requests that are open; none where all of one has come.
+    open: FxHashMap<u16, Option<Coming>>,
+    /// Content of a record that is wanted whole.
+    small: Vec<u8>,
+    /// The client wants the connection closed after this answer.
+    pub last: bool,
+}
+
+impl Intake {
+    /// Bytes of bodies that are still coming in.
+    pub fn held(&self) -> usize {
+        self.open.values().flatten().map(|c| c.body.len() + c.params.len()).sum()
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// The request has been answered, or needs no answer.
+    pub fn end(&mut self, id: u16) {
+        self.open.remove(&id);
+    }
+
+    /// The next thing said, if the ring holds it whole.
+    pub fn next(&mut self, ring: &mut Ring) -> Result<Option<Said>, fastcgi::Broken> {
+        while let Some(piece) = self.decoder.next(ring)? {
+            let said = self.piece(&piece, ring);
+            ring.consume(piece.len);
+            if let Some(said) = said? {
+                return Ok(Some(said));
+            }
+        }
+        Ok(None)
+    }
+
+    fn piece(&mut self, piece: &fastcgi::Piece, ring: &Ring) -> Result<Option<Said>, fastcgi::Broken> {
+        let content = &ring.front()[..piece.len];
+        match (piece.kind, piece.id) {
+            (fastcgi::PARAMS | fastcgi::STDIN, id) if id > 0 => Ok(self.part_of(piece, content)),
+            (fastcgi::ABORT_REQUEST, id) if id > 0 && piece.last => {
+                Ok(self.open.remove(&id).map(|_| Said::Abort(id)))
+            }
+            (fastcgi::BEGIN_REQUEST, id) if id > 0 => {
+                let whole = self.gather(piece, content);
+                whole.map_or(Ok(None), |bytes| self.begin(id, &bytes))
+            }
+            // Records of management, known or not, get an answer.
+            (kind, 0) => {
+                let whole = self.gather(piece, content);
+                Ok(whole.map(|bytes| Said::Reply(managed(kind, &bytes))))
+            }
+            _ => Ok(None),
+        }
+    }
+
+    fn gather(&mut self, piece: &fastcgi::Piece, content: &[u8]) -> Option<Vec<u8>> {
+        let room = MOST_PARAMS.saturating_sub(self.small.len());
+        self.small.extend_from_slice(&content[..content.len().min(room)]);
+        piece.last.then(|| std::mem::take(&mut self.small))
+    }
+
+    fn begin(&mut self, id: u16, bytes: &[u8]) -> Result<Option<Said>, fastcgi::Broken> {
+        let &[high, low, flags, ..] = bytes else { return Err(fastcgi::Broken) };
+        match self.open.get(&id) {
+            // One more under an id that waits for its answer; what belongs to it is not told from the first.
+            Some(None) => return Ok(Some(Said::Unusable(id, 400, "its id is in use"))),
+            Some(Some(_)) => return Err(fastcgi::Broken),
+            None => {}
+        }
+        if u16::from_be_bytes([high, low]) != fastcgi::RESPONDER {
+            return Ok(Some(Said::Over(id, fastcgi::UNKNOWN_ROLE)));
+        }
+        if self.open.len() >= MOST_OPEN {
+            return Ok(Some(Said::Over(id, fastcgi::OVERLOADED)));
+        }
+        self.last |= flags & fastcgi::KEEP_CONN == 0;
+        self.open.insert(id, Some(Coming::default()));
+        Ok(None)
+    }
+
+    fn part_of(&mut self, piece: &fastcgi::Piece, content: &[u8]) -> Option<Said> {
+        let slot = self.open.get_mut(&piece.id)?;
+        let coming = slot.as_mut()?;
+        let params = piece.kind == fastcgi::PARAMS;
+        if !piece.empty {
+            let (to, most) = match params {
+                true => (&mut coming.params, MOST_PARAMS),
+                false => (&mut coming.body, MOST_WRITE),
+            };
+            coming.excess |= to.len() + content.len() > most;
+            if !coming.excess {
+                to.extend_from_slice(content);
+            }
+            return None;
+        }
+        if params {
+            coming.params_done = true;
+            return None;
+        }
+        if !coming.params_done {
+            return None;
+        }
+        let whole = slot.take()?;
+        Some(if whole.excess {
+            Said::Unusable(piece.id, 413, "it is too long")
+        } else {
+            read(piece.id, &whole.params, whole.body)
+        })
+    }
+}
+
+fn managed(kind: u8, bytes: &[u8]) -> Vec<u8> {
+    if kind != fastcgi::GET_VALUES {
+        let mut reply = fastcgi::header(fastcgi::UNKNOWN_TYPE, 0, 8).to_vec();
+        reply.extend_from_slice(&[kind, 0, 0, 0, 0, 0, 0, 0]);
+        return reply;
+    }
+    let (mut values, mut rest) = (Vec::new(), bytes);
+    while let Some((name, _)) = fastcgi::pair(&mut rest) {
+        match name {
+            b"FCGI_MPXS_CONNS" => fastcgi::put_pair(&mut values, name, b"1"),
+            b"FCGI_MAX_REQS" => {
+                fastcgi::put_pair(&mut values, name, MOST_OPEN.to_string().as_bytes());
+            }
+            _ => {}
+        }
+        // The three names the specification knows, a few times over.
+        if values.len() > 512 {
+            break;
+        }
+    }
+    let mut reply = fastcgi::header(fastcgi::GET_VALUES_RESULT, 0, values.len()).to_vec();
+    reply.append(&mut values);
+    reply
+}
+
+fn read(id: u16, params: &[u8], body: Vec<u8>) -> Said {
+    match fields(params, body) {
+        Ok(Some(request)) => Said::Ask(id, Box::new(request)),
+        Ok(None) => Said::Check(id),
+        Err(why) => Said::Unusable(id, 400, why),
+    }
+}
+
+fn hex(text: &str) -> Option<u64> {
+    let whole = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    u64::from_str_radix(text, 16).ok().filter(|_| whole)
+}
+
+/// The fields of a request; none if it only asks whether the front is ready.
+fn fields(params: &[u8], body: Vec<u8>) -> Result<Option<Request>, &'static str> {
+    let mut rest = params;
+    let [mut path, mut id, mut wait, mut key] = [None; 4];
+    let [mut part, mut group, mut kb, mut tag] = [None; 4];
+    while !rest.is_empty() {
+        let (name, value) = fastcgi::pair(&mut rest).ok_or("its parameters end too soon")?;
+        let slot = match name {
+            b"SCRIPT_NAME" => &mut path,
+            b"HTTP_REQ_ID" => &mut id,
+            b"HTTP_REQ_WAIT_MS" => &mut wait,
+            b"HTTP_REQ_KEY" => &mut key,
+            b"HTTP_X_SEG" => &mut part,
+            b"HTTP_X_BUCKET" => &mut group,
+            b"HTTP_REQ_KB" => &mut kb,
+            b"HTTP_X_ETAG" => &mut tag,
+            _ => continue,
+        };
+        *slot = Some(std::str::from_utf8(value).map_err(|_| "a field is no text")?);
+    }
+    let path = path.ok_or("SCRIPT_NAME is missing")?;
+    if path == "/check" {
+        return Ok(None);
+    }
+    let offering = path.strip_prefix("/do/").ok_or("its path is unknown")?;
+    let id = id.filter(|id| hex(id).is_some()).ok_or("Req-Id is missing or unusable")?;
+    let key = key.ok_or("Req-Key is missing")?;
+    let number = |text: Option<&str>| text.map_or(Some(0), |t| t.parse::<u64>().ok());
+    let wait_ms = wait.and_then(|w| w.parse::<u64>().ok()).filter(|w| (1..=3_600_000).contains(w));
+    let kb = kb.map_or(Some(0.0), |kb| kb.parse::<f64>().ok()).filter(|kb| (0.0..1e9).contains(kb));
+    Ok(Some(Request {
+        offering: offering.into(),
+        id: id.into(),
+        wait_ms: wait_ms.ok_or("Req-Wait-Ms is missing or unusable")?,
+        object: hex(key).ok_or("Req-Key is unusable")?,
+        key: key.into(),
+        part: number(part).and_then(|p| u32::try_from(p).ok()).ok_or("X-Seg is unusable")?,
+        group: number(group).filter(|g| *g < 256).ok_or("X-Bucket is unusable")?,
+        kb: kb.ok_or("Req-Kb is unusable")?,
+        tag: tag.filter(|t| http::plain(t)).map(Into::into),
+        body,
+    }))
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,18 @@
+//! The real front: sockets around the decisions of `doorgrade`. `docs/architecture.md` has the life of a request.
+//! All state changes go through [`reducer`]; coroutines only read and write.
+#![deny(unsafe_code)]
+
+pub mod accept;
+pub mod answer;
+pub mod clock;
+pub mod config;
+pub mod conn;
+pub mod fastcgi;
+pub mod feed;
+pub mod http;
+pub mod intake;
+pub mod logger;
+pub mod phase;
+pub mod push;
+pub mod reducer;
+pub mod ring;
--- /dev/null
+++ b/crates/front/src/main.rs
@@ -0,0 +1,123 @@
+//! `doorgrade`: the real front. Reads its configuration, then hands what happens to the reducer and does what it
+//! asks for.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::Duration;
+
+use doorgrade_front::clock::Clock;
+use doorgrade_front::config::Config;
+use doorgrade_front::conn::{self, ConnId, Event, Port};
+use doorgrade_front::reducer::{Effect, Input, Reducer};
+use doorgrade_front::{accept, logger};
+use rustc_hash::FxHashMap;
+
+fn main() -> ExitCode {
+    logger::start(log::LevelFilter::Info);
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            log::error!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set")?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
+    let config = Config::read(&text, std::env::var("PROXY_NAME").ok(), std::env::var("PROXY_LISTEN").ok())?;
+    logger::start(config.log);
+    // One core is told; a coroutine reads and writes through rings on the heap, so small stacks do.
+    may::config().set_workers(1).set_stack_size(0x1000);
+    let (events, happened) = channel();
+    stop_on_signal(events.clone()).map_err(|e| format!("signals: {e}"))?;
+    let (listen, name) = (config.listen, config.name.clone());
+    let within = Duration::from_micros(config.told.connect_within * 100);
+    let mut clock = Clock::default();
+    let mut driver =
+        Driver { reducer: Reducer::new(config, clock.now()), ports: FxHashMap::default(), within, events };
+    let local =
+        accept::listen(listen, driver.events.clone()).map_err(|e| format!("key 'listen': {listen}: {e}"))?;
+    log::info!("{name} listens on {local}");
+    driver.reducer.input(clock.now(), Input::Listening);
+    driver.run(&mut clock, &happened);
+    log::info!("ends; at the most: {:?}", driver.reducer.most());
+    Ok(())
+}
+
+fn stop_on_signal(events: Sender<Event>) -> std::io::Result<()> {
+    let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM])?;
+    std::thread::spawn(move || signals.forever().for_each(|_| drop(events.send(Event::Stop))));
+    Ok(())
+}
+
+/// Carries inputs to the reducer and its effects out.
+struct Driver {
+    reducer: Reducer,
+    ports: FxHashMap<ConnId, Port>,
+    within: Duration,
+    events: Sender<Event>,
+}
+
+impl Driver {
+    fn run(&mut self, clock: &mut Clock, happened: &Receiver<Event>) {
+        loop {
+            if self.perform() {
+                return;
+            }
+            let now = clock.now();
+            let event = match self.reducer.next_tick() {
+                Some(at) if at <= now => happened.try_recv().map_err(|_| RecvTimeoutError::Timeout),
+                Some(at) => happened.recv_timeout(Duration::from_micros((at - now) * 100)),
+                None => happened.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            };
+            let input = event.map_or(Input::Tick, |event| self.input(event));
+            self.reducer.input(clock.now(), input);
+        }
+    }
+
+    fn input(&mut self, event: Event) -> Input {
+        match event {
+            Event::Accepted(conn, port) => {
+                self.ports.insert(conn, port);
+                Input::Accepted(conn)
+            }
+            Event::Connected(conn, Ok(port)) => {
+                self.ports.insert(conn, port);
+                Input::Connected(conn, true)
+            }
+            Event::Connected(conn, Err(error)) => {
+                log::debug!("connection {conn} failed: {error}");
+                Input::Connected(conn, false)
+            }
+            Event::Read { conn, ring, ended, at } => Input::Read { conn, ring, ended, at },
+            Event::Wrote { conn, ring, failed } => Input::Wrote { conn, ring, failed },
+            Event::Closed(conn) => Input::Closed(conn),
+            Event::Stop => Input::Stop,
+        }
+    }
+
+    /// Does what the reducer asks for; true when it asks to exit.
+    fn perform(&mut self) -> bool {
+        for effect in self.reducer.effects() {
+            match effect {
+                Effect::Connect(conn, to) => conn::connect(conn, to, self.within, self.events.clone()),
+                Effect::Read(conn, ring) => {
+                    if let Some(port) = self.ports.get(&conn) {
+                        port.read(ring);
+                    }
+                }
+                Effect::Write(conn, ring) => {
+                    if let Some(port) = self.ports.get(&conn) {
+                        port.write(ring);
+                    }
+                }
+                Effect::Close(conn) => drop(self.ports.remove(&conn)),
+                Effect::Exit => return true,
+            }
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/front/src/phase.rs
@@ -0,0 +1,92 @@
+//! The program's phases, from start to exit.
+
+use doorgrade::Tenths;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// The configuration is applied; nothing is listened to yet.
+    Starting,
+    Serving,
+    /// Told to stop: new accesses are still taken until the first time, all are ended by the second.
+    Leaving {
+        take_until: Tenths,
+        end_by: Tenths,
+    },
+    /// Nothing is taken any more; answers are still being written.
+    Closing {
+        end_by: Tenths,
+    },
+    Gone,
+}
+
+#[derive(Debug)]
+pub struct Phase(State);
+
+impl Phase {
+    /// After the word to stop, connections come for up to 0.4 s and accesses on open ones for 0.2 s more.
+    const TAKEN_FOR: Tenths = 6_500;
+    /// The hard stop comes this much after the longest hard limit (or [`Phase::LONGEST`]); 0.3 s are kept to
+    /// write the last answers.
+    const GRACE: Tenths = 4_000;
+    const LONGEST: Tenths = 30_000;
+
+    pub fn new() -> Self {
+        Phase(State::Starting)
+    }
+
+    pub fn serve(&mut self) {
+        if self.0 == State::Starting {
+            self.0 = State::Serving;
+        }
+    }
+
+    /// The word to stop has come: when to look at [`Phase::advance`] again.
+    pub fn leave(&mut self, now: Tenths, longest: Tenths) -> Option<[Tenths; 2]> {
+        if !matches!(self.0, State::Starting | State::Serving) {
+            return None;
+        }
+        let (take_until, end_by) = (now + Self::TAKEN_FOR, now + longest.min(Self::LONGEST) + Self::GRACE);
+        self.0 = State::Leaving { take_until: take_until.min(end_by), end_by };
+        Some([take_until.min(end_by), end_by])
+    }
+
+    /// Moves on as time and open accesses allow.
+    pub fn advance(&mut self, now: Tenths, open: bool, unwritten: bool) {
+        match self.0 {
+            State::Leaving { take_until, end_by } if now >= take_until && (!open || now >= end_by) => {
+                self.0 = State::Closing { end_by };
+                self.advance(now, open, unwritten);
+            }
+            State::Closing { end_by } if !unwritten || now >= end_by + Self::GRACE / 2 => {
+                self.0 = State::Gone
+            }
+            _ => {}
+        }
+    }
+
+    pub fn takes(&self) -> bool {
+        matches!(self.0, State::Serving | State::Leaving { .. })
+    }
+
+    pub fn serving(&self) -> bool {
+        self.0 == State::Serving
+    }
+
+    /// From this time on no access may be left open.
+    pub fn end_by(&self) -> Option<Tenths> {
+        match self.0 {
+            State::Leaving { end_by, .. } | State::Closing { end_by } => Some(end_by),
+            _ => None,
+        }
+    }
+
+    pub fn gone(&self) -> bool {
+        self.0 == State::Gone
+    }
+}
+
+impl Default for Phase {
+    fn default() -> Self {
+        Phase::new()
+    }
+}
--- /dev/null
+++ b/crates/front/src/push.rs
@@ -0,0 +1,206 @@
+//! Connections to caches, kept by cache id, and one push's way over one of them. No I/O.
+
+use std::net::SocketAddr;
+
+use doorgrade::{AccessId, Note, Outcome, Tenths};
+use rustc_hash::FxHashMap;
+
+use crate::conn::ConnId;
+use crate::http::{self, Head};
+use crate::ring::Ring;
+
+/// A cache's whole answer to a push.
+#[derive(Debug)]
+pub struct Got {
+    pub outcome: Outcome,
+    pub note: Note,
+    pub status: u16,
+    pub tag: Option<String>,
+    pub made_at: Option<u64>,
+    pub body: Vec<u8>,
+}
+
+impl Got {
+    /// An end that no answer tells of.
+    pub fn bare(outcome: Outcome) -> Self {
+        Got { outcome, note: Note::Untold, status: 0, tag: None, made_at: None, body: Vec::new() }
+    }
+}
+
+/// What an answer proves. Without the mark that it never ran, it may have run.
+fn outcome(head: &Head, had_tag: bool) -> Outcome {
+    match (head.status, head.not_begun) {
+        (200, _) => Outcome::Handled,
+        (304, _) if had_tag => Outcome::Handled,
+        (404, _) => Outcome::Miss,
+        (503, true) => Outcome::Full,
+        (504, true) => Outcome::NeverSent,
+        (500..=599, _) => Outcome::Error,
+        _ => Outcome::Broken,
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Connecting,
+    Busy,
+    Idle,
+    /// To be closed; its descriptor is not yet given back.
+    Closing,
+}
+
+/// A connection to a cache.
+pub struct Line {
+    pub cache: u32,
+    pub state: State,
+    /// The push it carries, or is made for.
+    pub carries: Option<(AccessId, usize)>,
+    pub since: Tenths,
+    /// The ring for writing, while the coroutine does not have it.
+    pub out: Option<Ring>,
+    request: Vec<u8>,
+    sent: usize,
+    had_tag: bool,
+    head: Option<Head>,
+    body: Vec<u8>,
+    /// Waits for room for its answer's body.
+    pub parked: Option<Ring>,
+}
+
+/// What reading has come to.
+pub enum Progress {
+    More,
+    /// The body of this many bytes needs room first.
+    Needs(usize),
+    Whole(Got, bool),
+    Broken(&'static str),
+}
+
+impl Line {
+    pub fn new(cache: u32, carries: (AccessId, usize), now: Tenths) -> Self {
+        Line {
+            cache,
+            state: State::Connecting,
+            carries: Some(carries),
+            since: now,
+            out: None,
+            request: Vec::new(),
+            sent: 0,
+            had_tag: false,
+            head: None,
+            body: Vec::new(),
+            parked: None,
+        }
+    }
+
+    pub fn begin(&mut self, request: Vec<u8>, had_tag: bool) {
+        (self.state, self.request, self.sent, self.had_tag) = (State::Busy, request, 0, had_tag);
+        (self.head, self.body) = (None, Vec::new());
+    }
+
+    /// The next bytes to write, if there are any and the ring is here.
+    pub fn to_write(&mut self) -> Option<Ring> {
+        if self.sent == self.request.len() {
+            return None;
+        }
+        let mut ring = self.out.take()?;
+        self.sent += ring.put(&self.request[self.sent..]);
+        if self.sent == self.request.len() {
+            (self.request, self.sent) = (Vec::new(), 0);
+        }
+        Some(ring)
+    }
+
+    /// Room that was reserved for the body.
+    pub fn held(&self) -> usize {
+        self.body.capacity()
+    }
+
+    /// Takes what was read, as far as `room` for bodies goes.
+    pub fn take(&mut self, ring: &mut Ring, room: usize) -> Progress {
+        if self.state != State::Busy {
+            return if ring.is_empty() { Progress::More } else { Progress::Broken("it spoke unasked") };
+        }
+        while self.head.is_none() {
+            match http::head(ring.whole()) {
+                Ok(None) => return Progress::More,
+                Ok(Some((head, size))) => {
+                    if head.length > room {
+                        return Progress::Needs(head.length);
+                    }
+                    ring.consume(size);
+                    if head.status >= 200 {
+                        self.body = Vec::with_capacity(head.length);
+                        self.head = Some(head);
+                    }
+                }
+                Err(http::Broken(why)) => return Progress::Broken(why),
+            }
+        }
+        let Some(head) = &self.head else { return Progress::More };
+        while self.body.len() < head.length && !ring.is_empty() {
+            let piece = ring.front();
+            let count = piece.len().min(head.length - self.body.len());
+            self.body.extend_from_slice(&piece[..count]);
+            ring.consume(count);
+        }
+        if self.body.len() < head.length {
+            return Progress::More;
+        }
+        if !ring.is_empty() {
+            return Progress::Broken("bytes follow its end");
+        }
+        if head.status == 200 && head.made_at.is_none() {
+            log::debug!("an answer 200 without Made-At");
+        }
+        let unsent = self.sent < self.request.len();
+        let Some(head) = self.head.take() else { return Progress::More };
+        let got = Got {
+            outcome: outcome(&head, self.had_tag),
+            note: head.note,
+            status: head.status,
+            tag: head.tag,
+            made_at: head.made_at,
+            body: std::mem::take(&mut self.body),
+        };
+        Progress::Whole(got, head.closes || unsent)
+    }
+}
+
+/// A cache, parent or origin as it is listed.
+pub struct Place {
+    pub at: SocketAddr,
+    pub started: Option<Tenths>,
+}
+
+/// Idle connections, by cache id; the one used last is used first.
+#[derive(Default)]
+pub struct Pools {
+    idle: FxHashMap<u32, Vec<ConnId>>,
+}
+
+impl Pools {
+    pub fn put(&mut self, cache: u32, conn: ConnId) {
+        self.idle.entry(cache).or_default().push(conn);
+    }
+
+    pub fn get(&mut self, cache: u32) -> Option<ConnId> {
+        self.idle.get_mut(&cache)?.pop()
+    }
+
+    pub fn remove(&mut self, cache: u32, conn: ConnId) {
+        if let Some(conns) = self.idle.get_mut(&cache) {
+            conns.retain(|&c| c != conn);
+        }
+    }
+
+    /// All of one cache, which is gone or has started anew.
+    pub fn drop_all(&mut self, cache: u32) -> Vec<ConnId> {
+        self.idle.remove(&cache).unwrap_or_default()
+    }
+}
+
+/// The number in a member's id: `s-` and 8 hex digits.
+pub fn number(id: &str) -> Option<u32> {
+    u32::from_str_radix(id.strip_prefix("s-")?, 16).ok()
+}
--- /dev/null
+++ b/crates/front/src/ring.rs
@@ -0,0 +1,85 @@
+//! The bounded ring buffer that each connection has in either direction.
+
+#[derive(Debug)]
+pub struct Ring {
+    bytes: Box<[u8]>,
+    start: usize,
+    len: usize,
+}
+
+impl Ring {
+    pub fn new(capacity: usize) -> Self {
+        Ring { bytes: vec![0; capacity].into(), start: 0, len: 0 }
+    }
+
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub fn free(&self) -> usize {
+        self.bytes.len() - self.len
+    }
+
+    /// The oldest bytes, as far as they lie in one piece.
+    pub fn front(&self) -> &[u8] {
+        let end = (self.start + self.len).min(self.bytes.len());
+        &self.bytes[self.start..end]
+    }
+
+    /// All bytes in one piece.
+    pub fn whole(&mut self) -> &[u8] {
+        if self.start + self.len > self.bytes.len() {
+            self.bytes.rotate_left(self.start);
+            self.start = 0;
+        }
+        self.front()
+    }
+
+    pub fn consume(&mut self, count: usize) {
+        let count = count.min(self.len);
+        self.len -= count;
+        self.start = if self.len == 0 { 0 } else { (self.start + count) % self.bytes.len() };
+    }
+
+    /// Room for new bytes, as far as it lies in one piece; [`Ring::filled`] says how much of it was used.
+    pub fn back(&mut self) -> &mut [u8] {
+        let capacity = self.bytes.len();
+        if capacity == 0 {
+            return &mut [];
+        }
+        let from = (self.start + self.len) % capacity;
+        let to = if self.len == capacity {
+            from
+        } else if from < self.start {
+            self.start
+        } else {
+            capacity
+        };
+        &mut self.bytes[from..to]
+    }
+
+    pub fn filled(&mut self, count: usize) {
+        self.len = (self.len + count).min(self.bytes.len());
+    }
+
+    /// Takes as many of the bytes as there is room for, and says how many.
+    pub fn put(&mut self, mut bytes: &[u8]) -> usize {
+        let before = self.len;
+        while !bytes.is_empty() && self.free() > 0 {
+            let room = self.back();
+            let count = room.len().min(bytes.len());
+            room[..count].copy_from_slice(&bytes[..count]);
+            self.filled(count);
+            bytes = &bytes[count..];
+        }
+        self.len - before
+    }
+
+    pub fn clear(&mut self) {
+        (self.start, self.len) = (0, 0);
+    }
+}
--- a/crates/benchlink/src/boot.rs
+++ b/crates/settings/src/lib.rs
@@ -1,9 +1,25 @@
-//! The wire's words for settings, outcomes and notes. Unknown settings are skipped.
+//! The settings that operators give an instance, as nested JSON: read once, for the bench's adapter and the real
+//! front alike. Unknown settings are skipped.
+#![forbid(unsafe_code)]
 
-use doorgrade::{Cold, Effect, Group, Note, Notes, Offering, Outcome, Powers, Settings, Tenths};
+use doorgrade::{Cold, Effect, Group, Notes, Offering, Powers, Settings, Tenths};
 use serde::Deserialize;
 
-use crate::line::Bad;
+/// All that an instance is told: what the decisions need, and the facts of the protocol.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub settings: Settings,
+    /// Names of the offerings, zones and kinds, in the order of their numbers.
+    pub offerings: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// A connection to a cache that is not established in this time never will be.
+    pub connect_within: Tenths,
+    /// Idle connections to caches are closed after this time.
+    pub idle: Tenths,
+    /// The longest hard limit of any offering.
+    pub longest: Tenths,
+}
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
@@ -15,6 +31,8 @@
     registry_mode: String,
     weight_kind: String,
     limits: Limits,
+    localities: Vec<String>,
+    machine_types: Vec<String>,
     rules: Rules,
     specifics: Specifics,
 }
@@ -24,6 +42,8 @@
 struct Profile {
     aim: f64,
     aim_stretch: f64,
+    deadline: f64,
+    name: String,
     group: String,
     repeat_window: f64,
     semantics: String,
@@ -34,6 +54,8 @@
 #[serde(rename_all = "camelCase", default)]
 struct Limits {
     cancel: bool,
+    conn_idle: f64,
+    connect_timeout: f64,
     max_attempts: usize,
     max_retry_after: f64,
     retry_after: bool,
@@ -76,7 +98,14 @@
             quantum: 1.0,
             registry_mode: "automatic".into(),
             weight_kind: "silent".into(),
-            limits: Limits { max_attempts: 1, ..Limits::default() },
+            limits: Limits {
+                max_attempts: 1,
+                conn_idle: 5_000.0,
+                connect_timeout: 1_000.0,
+                ..Limits::default()
+            },
+            localities: Vec::new(),
+            machine_types: Vec::new(),
             rules: Rules::default(),
             specifics: Specifics::default(),
         }
@@ -88,6 +117,8 @@
         Profile {
             aim: 0.0,
             aim_stretch: 0.0,
+            deadline: 0.0,
+            name: String::new(),
             group: "all".into(),
             repeat_window: 0.0,
             semantics: "free".into(),
@@ -126,12 +157,13 @@
     (ms * 10.0).floor().max(0.0) as Tenths
 }
 
-fn unknown(what: &str, value: &str) -> Bad {
-    Bad(format!("field 'bootInfo': {what}: unknown value '{value}'"))
+fn unknown(what: &str, value: &str) -> String {
+    format!("{what}: unknown value '{value}'")
 }
 
-pub fn settings(text: &str) -> Result<Settings, Bad> {
-    let boot: Boot = serde_json::from_str(text).map_err(|e| Bad(format!("field 'bootInfo': {e}")))?;
+/// Reads the settings, or says in plain words which key is at fault.
+pub fn read(text: &str) -> Result<Told, String> {
+    let boot: Boot = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let own = &boot.specifics;
     let mut offerings = Vec::with_capacity(boot.profiles.len());
     for (at, p) in boot.profiles.iter().enumerate() {
@@ -155,7 +187,7 @@
             uncacheable: own.pass_on.get(at).copied().unwrap_or(false),
         });
     }
-    Ok(Settings {
+    let settings = Settings {
         offerings,
         zone: boot.zone,
         crew: own.crew_by_zone.get(boot.zone).copied().unwrap_or(boot.fleet_size).max(1),
@@ -191,37 +223,14 @@
             window: tenths(boot.rules.fall),
         },
         purge_done: tenths(own.purge_done),
-    })
-}
-
-pub fn outcome(code: &str) -> Result<Outcome, Bad> {
-    Ok(match code {
-        "pass" => Outcome::Handled,
-        "fault" => Outcome::Error,
-        "no_room" => Outcome::Full,
-        "too_slow" => Outcome::TimedOut,
-        "no_route" => Outcome::Unreachable,
-        "cut" => Outcome::Broken,
-        "undone" => Outcome::Withdrawn,
-        "stale_send" => Outcome::NeverSent,
-        "none_here" => Outcome::Miss,
-        other => return Err(Bad(format!("field 'rc': unknown outcome '{other}'"))),
-    })
-}
-
-pub fn note(info: u64) -> Result<Note, Bad> {
-    Ok(match info {
-        0 => Note::Untold,
-        1 => Note::Hit,
-        2 => Note::Filled,
-        3 => Note::FilledByOrigin,
-        4 => Note::Joined,
-        5 => Note::Stale,
-        6 => Note::SourceRefused,
-        7 => Note::SourceLost,
-        8 => Note::SourceLacks,
-        9 => Note::NoFillPlace,
-        10 => Note::OriginFailed,
-        other => return Err(Bad(format!("field 'info': unknown note {other}"))),
+    };
+    Ok(Told {
+        settings,
+        longest: tenths(boot.profiles.iter().map(|p| p.deadline).fold(0.0, f64::max)),
+        offerings: boot.profiles.into_iter().map(|p| p.name).collect(),
+        zones: boot.localities,
+        kinds: boot.machine_types,
+        connect_within: tenths(boot.limits.connect_timeout),
+        idle: tenths(boot.limits.conn_idle),
     })
 }
