--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -16,6 +16,8 @@
     head: Vec<u8>,
     body: Vec<u8>,
     written: usize,
+    /// Not of the request that is open under this id.
+    extra: bool,
 }
 
 /// What a client's connection is still owed.
@@ -68,7 +70,7 @@
         self.plain.push_back(bytes);
     }
 
-    pub fn put(&mut self, id: u16, reply: Reply<'_>) {
+    pub fn put(&mut self, id: u16, reply: Reply<'_>, extra: bool) {
         let mut head = format!("Status: {} {}\r\n", reply.status, reason(reply.status));
         if reply.stay_away > 0 {
             head.push_str(&format!("Retry-After: {}\r\n", reply.stay_away.div_ceil(10_000)));
@@ -81,12 +83,12 @@
         }
         head.push_str(&format!("Content-Length: {}\r\n\r\n", reply.body.len()));
         self.held += reply.body.len();
-        self.answers.push_back(Answer { id, head: head.into(), body: reply.body, written: 0 });
+        self.answers.push_back(Answer { id, head: head.into(), body: reply.body, written: 0, extra });
     }
 
     /// Drops an answer that its client has given up, or what is left of it.
     pub fn forget(&mut self, id: u16) {
-        if let Some(place) = self.answers.iter().position(|a| a.id == id)
+        if let Some(place) = self.answers.iter().position(|a| a.id == id && !a.extra)
             && let Some(answer) = self.answers.remove(place)
         {
             self.held -= answer.body.len();
@@ -124,7 +126,9 @@
             ring.put(&fastcgi::header(fastcgi::STDOUT, answer.id, 0));
             ring.put(&fastcgi::end_request(answer.id, fastcgi::COMPLETE));
             self.held -= answer.body.len();
-            done(answer.id);
+            if !answer.extra {
+                done(answer.id);
+            }
         }
     }
 }
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -15,11 +15,23 @@
 #[derive(Default)]
 pub struct Clock {
     last: Tenths,
+    /// Set back by more than a moment, the system's clock is followed from where it had been: timers must go on.
+    pub ahead: Tenths,
 }
 
 impl Clock {
+    const MOMENT: Tenths = 10_000;
+
     pub fn now(&mut self) -> Tenths {
-        self.last = self.last.max(unix());
+        self.follow(unix())
+    }
+
+    pub fn follow(&mut self, unix: Tenths) -> Tenths {
+        let behind = self.last.saturating_sub(unix + self.ahead);
+        if behind > Self::MOMENT {
+            self.ahead += behind;
+        }
+        self.last = self.last.max(unix + self.ahead);
         self.last
     }
 }
--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -35,6 +35,9 @@
     },
 }
 
+/// Later times, in Unix milliseconds, are taken for this one: sums of times must not overflow.
+const MOST_TIME: u64 = 1 << 50;
+
 #[derive(Deserialize)]
 pub struct Known {
     n: u64,
@@ -94,7 +97,7 @@
             events.push(Event::Purge {
                 object,
                 group: purge.group.unwrap_or(0),
-                at: purge.at.saturating_mul(10),
+                at: purge.at.min(MOST_TIME) * 10,
             });
         }
     }
@@ -105,7 +108,7 @@
     let place = |list: &[String], key: &str, name: &str| {
         list.iter().position(|n| n == name).ok_or_else(|| format!("'{key}': unknown value '{name}'"))
     };
-    let started = Some(row.up_since_ms.saturating_mul(10)).filter(|&t| t > 0);
+    let started = Some(row.up_since_ms.min(MOST_TIME) * 10).filter(|&t| t > 0);
     let member = Member {
         zone: place(&names.zones, "locality", &row.locality)?,
         kind: place(&names.kinds, "flavor", &row.flavor)?,
@@ -196,11 +199,11 @@
         }
         3 => {
             let object = Some(fields.number(8)?);
-            Some(Event::Purge { object, group: 0, at: fields.number(8)?.saturating_mul(10) })
+            Some(Event::Purge { object, group: 0, at: fields.number(8)?.min(MOST_TIME) * 10 })
         }
         4 => {
             let group = fields.number(2)?;
-            Some(Event::Purge { object: None, group, at: fields.number(8)?.saturating_mul(10) })
+            Some(Event::Purge { object: None, group, at: fields.number(8)?.min(MOST_TIME) * 10 })
         }
         _ => return Err(Malformed("a frame's kind")),
     };
@@ -225,7 +228,7 @@
         return Err(Malformed("a member's zone or kind"));
     }
     let (cell, weight) = (fields.number(2)?, fields.number(4)? as f64 / 1000.0);
-    let started = Some(fields.number(8)?.saturating_mul(10)).filter(|&t| t > 0);
+    let started = Some(fields.number(8)?.min(MOST_TIME) * 10).filter(|&t| t > 0);
     Ok(Listed { member: Member { id, zone, kind, cell, standing, weight, started }, at })
 }
 
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -35,6 +35,8 @@
     Check(u16),
     /// A request that can't be used: its status, and why.
     Unusable(u16, u16, &'static str),
+    /// One more request under an id that waits for its answer.
+    Twice(u16),
     Abort(u16),
     /// A request that is over before it began, by this protocol status.
     Over(u16, u8),
@@ -47,8 +49,8 @@
     params: Vec<u8>,
     params_done: bool,
     body: Vec<u8>,
-    /// Too long, in its parameters or its body.
-    excess: bool,
+    /// Why the rest is not held, and the status for it.
+    excess: Option<(u16, &'static str)>,
 }
 
 /// The reading half of a client's connection.
@@ -78,10 +80,11 @@
         self.open.remove(&id);
     }
 
-    /// The next thing said, if the ring holds it whole.
-    pub fn next(&mut self, ring: &mut Ring) -> Result<Option<Said>, fastcgi::Broken> {
+    /// The next thing said, if the ring holds it whole; bodies have this much room.
+    pub fn next(&mut self, ring: &mut Ring, room: usize) -> Result<Option<Said>, fastcgi::Broken> {
+        let most = self.held() + room;
         while let Some(piece) = self.decoder.next(ring)? {
-            let said = self.piece(&piece, ring);
+            let said = self.piece(&piece, ring, most);
             ring.consume(piece.len);
             if let Some(said) = said? {
                 return Ok(Some(said));
@@ -90,10 +93,15 @@
         Ok(None)
     }
 
-    fn piece(&mut self, piece: &fastcgi::Piece, ring: &Ring) -> Result<Option<Said>, fastcgi::Broken> {
+    fn piece(
+        &mut self,
+        piece: &fastcgi::Piece,
+        ring: &Ring,
+        most: usize,
+    ) -> Result<Option<Said>, fastcgi::Broken> {
         let content = &ring.front()[..piece.len];
         match (piece.kind, piece.id) {
-            (fastcgi::PARAMS | fastcgi::STDIN, id) if id > 0 => Ok(self.part_of(piece, content)),
+            (fastcgi::PARAMS | fastcgi::STDIN, id) if id > 0 => Ok(self.part_of(piece, content, most)),
             (fastcgi::ABORT_REQUEST, id) if id > 0 && piece.last => {
                 Ok(self.open.remove(&id).map(|_| Said::Abort(id)))
             }
@@ -119,8 +127,8 @@
     fn begin(&mut self, id: u16, bytes: &[u8]) -> Result<Option<Said>, fastcgi::Broken> {
         let &[high, low, flags, ..] = bytes else { return Err(fastcgi::Broken) };
         match self.open.get(&id) {
-            // One more under an id that waits for its answer; what belongs to it is not told from the first.
-            Some(None) => return Ok(Some(Said::Unusable(id, 400, "its id is in use"))),
+            Some(None) => return Ok(Some(Said::Twice(id))),
+            // What belongs to which could not be told apart.
             Some(Some(_)) => return Err(fastcgi::Broken),
             None => {}
         }
@@ -135,7 +143,8 @@
         Ok(None)
     }
 
-    fn part_of(&mut self, piece: &fastcgi::Piece, content: &[u8]) -> Option<Said> {
+    fn part_of(&mut self, piece: &fastcgi::Piece, content: &[u8], most: usize) -> Option<Said> {
+        let full = self.held() + content.len() > most;
         let slot = self.open.get_mut(&piece.id)?;
         let coming = slot.as_mut()?;
         let params = piece.kind == fastcgi::PARAMS;
@@ -144,9 +153,16 @@
                 true => (&mut coming.params, MOST_PARAMS),
                 false => (&mut coming.body, MOST_WRITE),
             };
-            coming.excess |= to.len() + content.len() > most;
-            if !coming.excess {
+            if to.len() + content.len() > most {
+                coming.excess = Some((413, "it is too long"));
+            } else if full {
+                // Nothing was pushed, so trying again is harmless.
+                coming.excess = coming.excess.or(Some((503, "no room for it")));
+            }
+            if coming.excess.is_none() {
                 to.extend_from_slice(content);
+            } else {
+                (coming.params, coming.body) = (Vec::new(), Vec::new());
             }
             return None;
         }
@@ -158,10 +174,9 @@
             return None;
         }
         let whole = slot.take()?;
-        Some(if whole.excess {
-            Said::Unusable(piece.id, 413, "it is too long")
-        } else {
-            read(piece.id, &whole.params, whole.body)
+        Some(match whole.excess {
+            Some((status, why)) => Said::Unusable(piece.id, status, why),
+            None => read(piece.id, &whole.params, whole.body),
         })
     }
 }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -74,7 +74,9 @@
                 None => happened.recv().map_err(|_| RecvTimeoutError::Disconnected),
             };
             let input = event.map_or(Input::Tick, |event| self.input(event));
-            self.reducer.input(clock.now(), input);
+            let now = clock.now();
+            self.reducer.set_ahead(clock.ahead);
+            self.reducer.input(now, input);
         }
     }
 
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -8,8 +8,9 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::answer::{Outbox, Reply};
+use crate::bounds::{self, Bounds};
 use crate::clock::Timers;
-use crate::config::{Config, Limits};
+use crate::config::Config;
 use crate::conn::ConnId;
 use crate::feed::{self, Feed, Names};
 use crate::http::{self, Ask};
@@ -64,45 +65,12 @@
     Phase,
 }
 
-/// How many of what the limits allow.
-#[derive(Clone, Copy, Debug)]
-struct Bounds {
-    clients: usize,
-    lines: usize,
-    bodies: usize,
-}
-
-/// Rings: a client sends little and is sent much; a cache the other way round.
-const CLIENT_IN: usize = 8 * 1024;
-const CLIENT_OUT: usize = 32 * 1024;
-const LINE_IN: usize = 32 * 1024;
-const LINE_OUT: usize = 4 * 1024;
-const FEED_IN: usize = 16 * 1024;
 const SWEEP: Tenths = 2_500;
 /// How often the log has the highest counts.
 const TOLD: Tenths = 100_000;
 /// A client that has not read a ring's worth in this time, the longest it may wait for an answer, never will.
 const UNREAD: Tenths = 100_000;
 
-impl Bounds {
-    fn new(limits: &Limits) -> Self {
-        // Standard streams, epoll and its event, signals, listener, feed; some on their way to be closed.
-        const OTHER: usize = 24;
-        // The program itself, its table of fills, and what the coroutine of a connection takes.
-        const PROGRAM: usize = 24 << 20;
-        const COROUTINE: usize = 16 * 1024;
-        // Clients hold a third of the descriptors at most, the caches' side has what is left.
-        let clients = limits.sockets / 3 + 4;
-        let lines = limits.sockets.saturating_sub(clients + OTHER).max(1);
-        let memory = (limits.memory_mb << 20) * 7 / 8;
-        let taken = PROGRAM
-            + clients * (CLIENT_IN + CLIENT_OUT + COROUTINE)
-            + lines * (LINE_IN + LINE_OUT + COROUTINE);
-        let bodies = memory.saturating_sub(taken).max(4 * http::MOST_BODY);
-        Bounds { clients, lines, bodies }
-    }
-}
-
 struct Client {
     intake: Intake,
     /// What was read, while too much waits to be written to read on.
@@ -181,6 +149,8 @@
     parked: VecDeque<ConnId>,
     most: Most,
     told_at: Tenths,
+    /// By how much `now` is ahead of the system's clock, which was set back.
+    ahead: Tenths,
 }
 
 impl Reducer {
@@ -213,6 +183,7 @@
                 parked: VecDeque::new(),
                 most: Most::default(),
                 told_at: now,
+                ahead: 0,
             },
         };
         log::info!("bounds: {:?}; {} events known up to number {number}", reducer.work.bounds, events.len());
@@ -236,6 +207,11 @@
         &self.work.most
     }
 
+    /// The system's clock was set back; times that come from outside are moved as `now` is.
+    pub fn set_ahead(&mut self, by: Tenths) {
+        self.work.ahead = by;
+    }
+
     pub fn input(&mut self, now: Tenths, input: Input) {
         self.work.now = self.work.now.max(now);
         match input {
@@ -289,19 +265,16 @@
     /// Tells the module of all ends of pushes, until there are none left.
     fn settle(&mut self) {
         while let Some((id, push, got)) = self.work.ends.pop_front() {
-            let now = self.work.now;
-            let Some(taken) = self.work.accesses.get_mut(&id) else { continue };
-            let lag = taken.sent.get(push).map_or(0, |s| now.saturating_sub(s.at));
-            let (outcome, note) = (got.outcome, got.note);
-            if outcome == Outcome::Handled && !taken.done {
-                taken.done = true;
-                let same = got.status == 304;
-                self.work.answer(
-                    id,
-                    Reply { status: 200, stay_away: 0, tag: got.tag.as_deref(), same, body: got.body },
-                );
+            let (now, outcome, note) = (self.work.now, got.outcome, got.note);
+            let taken = self.work.accesses.get(&id);
+            let lag = taken.and_then(|t| t.sent.get(push)).map_or(0, |s| now.saturating_sub(s.at));
+            if outcome == Outcome::Handled && taken.is_some_and(|t| !t.done) {
+                let (tag, same) = (got.tag.as_deref(), got.status == 304);
+                self.work.answer(id, Reply { tag, same, body: got.body, ..Reply::bare(200) });
+            } else {
+                self.work.bodies = self.work.bodies.saturating_sub(got.body.len());
             }
-            let settled = self.work.accesses.get(&id).is_some_and(|t| t.done);
+            let settled = self.work.accesses.get(&id).is_none_or(|t| t.done);
             self.front.ended(now, id, &Ended { push, outcome, settled, lag, note }, &mut self.work);
             self.work.tidy(id);
         }
@@ -327,7 +300,8 @@
         match event {
             feed::Event::List { whole, members } => {
                 self.work.list(whole, &members);
-                let members: Vec<Member> = members.into_iter().map(|l| l.member).collect();
+                let moved = |m: Member| Member { started: m.started.map(|t| t + self.work.ahead), ..m };
+                let members: Vec<Member> = members.into_iter().map(|l| moved(l.member)).collect();
                 self.front.listed(now, &members, whole, &mut self.work);
                 let stays = |m: &&Member| m.standing == Standing::Listed;
                 let stay: FxHashSet<_> = members.iter().filter(stays).map(|m| push::number(&m.id)).collect();
@@ -337,7 +311,7 @@
                 self.work.recall(|_, sent| sent.names.iter().any(leaves));
             }
             feed::Event::Purge { object, group, at } => {
-                self.front.purged(now, object, group, now.saturating_sub(at));
+                self.front.purged(now, object, group, now.saturating_sub(at + self.work.ahead));
                 let of = |r: &Request| object.map_or(r.group == group, |o| r.object == o);
                 self.work.recall(|taken, _| of(&taken.request));
             }
@@ -369,7 +343,8 @@
         loop {
             let Some(client) = self.work.clients.get_mut(&conn) else { return };
             let before = client.intake.held();
-            let said = client.intake.next(&mut ring);
+            let room = self.work.bounds.bodies.saturating_sub(self.work.bodies);
+            let said = client.intake.next(&mut ring, room);
             let after = client.intake.held();
             self.work.bodies = (self.work.bodies + after).saturating_sub(before);
             match said {
@@ -405,6 +380,13 @@
                 log::warn!("a request can't be used: {why}");
                 work.reply(conn, id, Reply::bare(status));
             }
+            Said::Twice(id) => {
+                log::warn!("a request can't be used: its id is in use");
+                if let Some(client) = work.clients.get_mut(&conn) {
+                    client.outbox.put(id, Reply::bare(400), true);
+                    work.write_client(conn);
+                }
+            }
             Said::Abort(id) => {
                 if let Some(client) = work.clients.get_mut(&conn) {
                     let held = client.outbox.held;
@@ -430,15 +412,16 @@
             return work.reply(conn, id, Reply::bare(404));
         };
         // Nothing was pushed yet, so trying again is harmless.
-        if !work.phase.takes() || work.bodies + request.body.len() > work.bounds.bodies {
+        if !work.phase.takes() || work.bodies + 2 * request.body.len() > work.bounds.bodies {
             return work.reply(conn, id, Reply::bare(503));
         }
         let Some(client) = work.clients.get_mut(&conn) else { return };
         let access = work.next_access;
         work.next_access += 1;
         client.accesses.insert(id, access);
-        work.bodies += request.body.len();
-        let until = at.min(work.now) + request.wait_ms * 10;
+        // Once for the access, and once more on its way to a cache.
+        work.bodies += 2 * request.body.len();
+        let until = (at + work.ahead).min(work.now) + request.wait_ms * 10;
         let asked = Access {
             id: access,
             offering,
@@ -486,7 +469,8 @@
                 && !client.outbox.crowded()
                 && let Some(ring) = client.paused.take()
             {
-                self.client_read(conn, ring, false, now);
+                let at = now - work.ahead;
+                self.client_read(conn, ring, false, at);
             }
             let work = &mut self.work;
             let over = |c: &Client| c.ended && c.intake.open() == 0 && c.outbox.is_empty() && c.out.is_some();
@@ -629,15 +613,17 @@
         let client = Client {
             intake: Intake::default(),
             paused: None,
-            out: Some(Ring::new(CLIENT_OUT)),
+            out: Some(Ring::new(bounds::CLIENT_OUT)),
             wrote: self.now,
             outbox: Outbox::default(),
             accesses: FxHashMap::default(),
             ended: false,
         };
         self.clients.insert(conn, client);
+        // What was lent is taken back, as far as it is not in use.
+        while self.lines_used() > self.bounds.lines_with(self.clients.len()) && self.close_idle().is_some() {}
         self.most.clients = self.most.clients.max(self.clients.len());
-        self.effects.push(Effect::Read(conn, Ring::new(CLIENT_IN)));
+        self.effects.push(Effect::Read(conn, Ring::new(bounds::CLIENT_IN)));
     }
 
     fn write_client(&mut self, conn: ConnId) {
@@ -666,7 +652,7 @@
             self.bodies = self.bodies.saturating_sub(reply.body.len());
             return;
         };
-        client.outbox.put(id, reply);
+        client.outbox.put(id, reply, false);
         self.write_client(conn);
     }
 
@@ -692,7 +678,7 @@
             && !self.ends.iter().any(|e| e.0 == access)
             && let Some(taken) = self.accesses.remove(&access)
         {
-            self.bodies = self.bodies.saturating_sub(taken.request.body.len());
+            self.bodies = self.bodies.saturating_sub(2 * taken.request.body.len());
         }
     }
 
@@ -707,9 +693,9 @@
             let mut ring = Ring::new(8);
             ring.put(&self.feed.begin(self.now));
             self.effects.push(Effect::Write(conn, ring));
-            return self.effects.push(Effect::Read(conn, Ring::new(FEED_IN)));
+            return self.effects.push(Effect::Read(conn, Ring::new(bounds::FEED_IN)));
         }
-        let Some(line) = self.lines.get_mut(&conn) else { return self.close(conn) };
+        let Some(line) = self.lines.get_mut(&conn) else { return };
         if !up {
             let carries = line.carries.take();
             self.lines.remove(&conn);
@@ -718,10 +704,10 @@
             }
             return;
         }
-        line.out = Some(Ring::new(LINE_OUT));
+        line.out = Some(Ring::new(bounds::LINE_OUT));
         (line.state, line.since) = (State::Idle, self.now);
         let (cache, carries) = (line.cache, line.carries);
-        self.effects.push(Effect::Read(conn, Ring::new(LINE_IN)));
+        self.effects.push(Effect::Read(conn, Ring::new(bounds::LINE_IN)));
         match carries {
             Some((access, push)) => self.send(conn, access, push),
             None if self.places.contains_key(&cache) => self.pools.put(cache, conn),
@@ -799,17 +785,8 @@
     }
 
     fn end_push(&mut self, access: AccessId, push: usize, got: Got) {
-        let live = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)).filter(|s| s.live);
-        let size = got.body.len();
-        let Some(sent) = live else {
-            self.bodies = self.bodies.saturating_sub(size);
-            return;
-        };
-        (sent.live, sent.conn, sent.request) = (false, None, Vec::new());
-        let passed_on =
-            got.outcome == Outcome::Handled && self.accesses.get(&access).is_some_and(|t| !t.done);
-        if !passed_on {
-            self.bodies = self.bodies.saturating_sub(size);
+        if let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) {
+            (sent.live, sent.conn, sent.request) = (false, None, Vec::new());
         }
         self.ends.push_back((access, push, got));
     }
@@ -845,6 +822,17 @@
         }
     }
 
+    /// Closes the connection to a cache that is idle longest.
+    fn close_idle(&mut self) -> Option<()> {
+        let idle = self.lines.iter().filter(|(_, l)| l.state == State::Idle && l.carries.is_none());
+        let (conn, cache) = idle.min_by_key(|(_, l)| l.since).map(|(&c, l)| (c, l.cache))?;
+        self.pools.remove(cache, conn);
+        self.close(conn);
+        // Its descriptor is given back before the next is asked for: effects go in order.
+        self.closing.insert(conn, false);
+        Some(())
+    }
+
     /// A connection for a push: an idle one, or a new one where descriptors allow.
     fn carry(&mut self, cache: u32, access: AccessId, push: usize) -> Option<()> {
         let at = self.places.get(&cache)?.at;
@@ -852,13 +840,8 @@
             self.send(conn, access, push);
             return Some(());
         }
-        if self.lines_used() >= self.bounds.lines {
-            let idle = self.lines.iter().filter(|(_, l)| l.state == State::Idle && l.carries.is_none());
-            let (conn, cache) = idle.min_by_key(|(_, l)| l.since).map(|(&c, l)| (c, l.cache))?;
-            self.pools.remove(cache, conn);
-            self.close(conn);
-            // Its descriptor is given back before the next is asked for: effects go in order.
-            self.closing.insert(conn, false);
+        if self.lines_used() >= self.bounds.lines_with(self.clients.len()) {
+            self.close_idle()?;
         }
         let conn = self.connect(at);
         self.lines.insert(conn, Line::new(cache, (access, push), self.now));
--- a/crates/front/tests/codecs.rs
+++ b/crates/front/tests/codecs.rs
@@ -3,7 +3,9 @@
 mod helper;
 
 use doorgrade_front::answer::{Outbox, Reply};
-use doorgrade_front::config::Config;
+use doorgrade_front::bounds::{self, Bounds};
+use doorgrade_front::clock::Clock;
+use doorgrade_front::config::{Config, Limits};
 use doorgrade_front::fastcgi::{self, Decoder};
 use doorgrade_front::feed::{Event, Frames, Names};
 use doorgrade_front::http;
@@ -23,6 +25,9 @@
     }
 }
 
+/// Room for bodies, where it does not matter.
+const ROOM: usize = 1 << 20;
+
 /// Hands the bytes over in pieces, through a ring of the given size.
 fn through(bytes: &[u8], ring: &mut Ring, rng: &mut Rng, mut take: impl FnMut(&mut Ring)) {
     let mut rest = bytes;
@@ -41,7 +46,7 @@
     let (mut intake, mut all, mut broken) = (Intake::default(), Vec::new(), false);
     through(bytes, &mut Ring::new(capacity), rng, |ring| {
         while !broken {
-            match intake.next(ring) {
+            match intake.next(ring, ROOM) {
                 Ok(Some(said)) => all.push(said),
                 Ok(None) => return,
                 Err(_) => broken = true,
@@ -145,7 +150,7 @@
         let (mut outbox, mut bodies, mut done) = (Outbox::default(), Vec::new(), Vec::new());
         for id in 1..=r.u16(1..9) {
             let body: Vec<u8> = (0..r.usize(..60_000)).map(|_| r.u8(..)).collect();
-            outbox.put(id, Reply { body: body.clone(), tag: Some("ab"), ..Reply::bare(200) });
+            outbox.put(id, Reply { body: body.clone(), tag: Some("ab"), ..Reply::bare(200) }, false);
             bodies.push(body);
         }
         let (mut ring, mut decoder) = (Ring::new(r.usize(64..40_000)), Decoder::default());
@@ -313,3 +318,55 @@
     assert_eq!((&*m.id, m.weight, m.started), ("s-0000002a", 1.0, Some(15_000)));
     assert_eq!((m.standing, members[0].at.port()), (doorgrade::Standing::Draining, 8080));
 }
+
+#[test]
+fn bodies_that_find_no_room_are_refused_and_not_held() {
+    let (mut intake, mut all) = (Intake::default(), Vec::new());
+    let bytes = [1, 2].map(|id| request(id, "/do/images", &access(1, 2, 900), &[7; 9_000], 0)).concat();
+    through(&bytes, &mut Ring::new(4096), &mut Rng::with_seed(1), |ring| {
+        while let Some(said) = intake.next(ring, 12_000 - intake.held()).expect("sound records") {
+            all.push(said);
+        }
+        assert!(intake.held() <= 12_000);
+    });
+    assert!(matches!(all[..], [Said::Ask(1, _), Said::Ask(2, _)]), "one after the other there is room");
+    let mut all = Vec::new();
+    let mut both = [3, 4].map(|id| request(id, "/do/images", &access(1, 2, 900), &[7; 9_000], 0));
+    let ends = both.each_mut().map(|bytes| bytes.split_off(bytes.len() - fastcgi::HEADER));
+    through(&[both, ends].concat().concat(), &mut Ring::new(4096), &mut Rng::with_seed(1), |ring| {
+        while let Some(said) = intake.next(ring, 12_000 - intake.held()).expect("sound records") {
+            all.push(said);
+        }
+    });
+    let all: Vec<_> = all
+        .into_iter()
+        .map(|s| match s {
+            Said::Ask(id, r) => (id, r.body.len()),
+            Said::Unusable(id, status, _) => (id, status.into()),
+            _ => (0, 0),
+        })
+        .collect();
+    assert_eq!(all, [(3, 9_000), (4, 503)], "side by side there is not");
+}
+
+#[test]
+fn bounds_stay_within_the_limits_told() {
+    for (memory_mb, sockets) in [(192, 1024), (48, 64), (64, 4096), (2048, 4096)] {
+        let b = Bounds::new(&Limits { memory_mb, sockets });
+        assert!(b.clients + b.lines <= sockets - 14, "{b:?}");
+        let rings = b.clients * (bounds::CLIENT_IN + bounds::CLIENT_OUT)
+            + b.lines * (bounds::LINE_IN + bounds::LINE_OUT);
+        assert!(rings + b.bodies <= memory_mb << 20, "{b:?}");
+        assert!(b.clients >= 4 && b.lines >= 4);
+    }
+}
+
+#[test]
+fn a_clock_set_back_goes_on_from_where_it_was() {
+    let mut clock = Clock::default();
+    assert_eq!(clock.follow(50_000_000), 50_000_000);
+    assert_eq!(clock.follow(49_999_000), 50_000_000, "a moment back: it waits");
+    assert_eq!(clock.follow(1_000_000), 50_000_000);
+    assert_eq!((clock.follow(1_000_700), clock.ahead), (50_000_700, 49_000_000));
+    assert_eq!(clock.follow(1_000_900), 50_000_900);
+}
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -157,6 +157,9 @@
     pub wholes: BTreeMap<u16, usize>,
     inputs: VecDeque<Input>,
     running: bool,
+    /// By how much the system's clock was set back.
+    back: Tenths,
+    strays: Vec<u16>,
 }
 
 impl World {
@@ -181,6 +184,8 @@
             wholes: BTreeMap::new(),
             inputs: VecDeque::new(),
             running: false,
+            back: 0,
+            strays: Vec::new(),
         };
         world.input(Input::Listening);
         world
@@ -259,6 +264,20 @@
         self.owe(conn, &record(fastcgi::ABORT_REQUEST, id, &[], 0));
     }
 
+    /// Sends bytes that no access goes with; the status that comes back at once.
+    pub fn stray(&mut self, conn: ConnId, bytes: &[u8]) -> Option<u16> {
+        let open: Vec<_> = self.open_calls();
+        self.taken.values_mut().for_each(|t| t.aborted |= t.client == conn && t.answer.is_none());
+        self.owe(conn, bytes);
+        open.iter().for_each(|call| self.taken.get_mut(call).expect("it was open").aborted = false);
+        self.strays.pop()
+    }
+
+    pub fn set_back(&mut self, by: Tenths) {
+        self.back += by;
+        self.reducer.set_ahead(self.back);
+    }
+
     pub fn answer_of(&self, call: u64) -> Option<&Answer> {
         self.taken.get(&call)?.answer.as_ref()
     }
@@ -301,7 +320,7 @@
         let most = c.owed.len().min(9_000);
         let count = ring.put(&c.owed[..self.rng.usize(most.min(1)..=most)]);
         c.owed.drain(..count);
-        let (ended, at) = (c.ended && c.owed.is_empty(), self.now);
+        let (ended, at) = (c.ended && c.owed.is_empty(), self.now - self.back);
         self.input(Input::Read { conn, ring, ended, at });
     }
 
@@ -341,6 +360,8 @@
                         );
                     }
                     t.answer = Some(got);
+                } else {
+                    self.strays.push(answer(&bytes).status);
                 }
             }
         }
@@ -420,8 +441,8 @@
     }
 
     pub fn purge(&mut self, number: u64, key: Option<u64>, group: u64) {
-        let at = (self.now - 500) / 10;
-        self.purges.push((key, group, at * 10, self.now));
+        let at = (self.now - 500 - self.back) / 10;
+        self.purges.push((key, group, at * 10 + self.back, self.now));
         let (kind, mut payload) = match key {
             Some(key) => (3, key.to_be_bytes().to_vec()),
             None => (4, (group as u16).to_be_bytes().to_vec()),
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -343,3 +343,32 @@
     serve(&mut w);
     assert_eq!(w.answer_of(1).map(|a| a.status), Some(200));
 }
+
+#[test]
+fn a_second_request_under_an_open_id_fails_and_leaves_the_first_alone() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    w.ask(client, 1, 1, 1, 5, 1_000);
+    let got = w.stray(client, &request(1, "/do/images", &access(2, 6, 900), &[], 0));
+    assert_eq!(got, Some(400));
+    assert_eq!(w.answer_of(1), None);
+    w.end(client);
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    assert!(w.working().is_empty(), "the first one's client is gone, and it with it");
+}
+
+#[test]
+fn times_move_with_a_clock_that_was_set_back() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    // The reducer's time is an hour ahead of the system's from here on; reads are stamped with the system's.
+    w.set_back(36_000_000);
+    w.ask(client, 1, 1, 1, 5, 1_000);
+    serve(&mut w);
+    assert_eq!(w.answer_of(1).map(|a| a.status), Some(200));
+    w.purge(2, Some(5), 0);
+    w.pass(400 * MS);
+    w.ask(client, 1, 2, 1, 5, 1_000);
+    serve(&mut w);
+    assert_eq!(w.answer_of(2).map(|a| a.status), Some(200));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -154,7 +154,8 @@
 }
 
 fn tenths(ms: f64) -> Tenths {
-    (ms * 10.0).floor().max(0.0) as Tenths
+    // Thousands of years at the most: sums of times must not overflow, whatever the settings say.
+    (ms * 10.0).floor().clamp(0.0, 1e15) as Tenths
 }
 
 fn unknown(what: &str, value: &str) -> String {
