Silent clients give their descriptors back; the reducer in three files by side

reducer.rs keeps inputs, time and the feed; its dealings with clients and with caches stand in clients.rs and pushes.rs below it. Moved, not changed.

--- /dev/null
+++ b/crates/front/src/reducer/clients.rs
@@ -0,0 +1,248 @@
+//! The reducer's dealings with clients: what they say, what they are owed.
+
+use doorgrade::{Access, AccessId, Tenths};
+use rustc_hash::FxHashMap;
+
+use super::{Effect, Reducer, Taken, Work};
+use crate::answer::{Outbox, Reply};
+use crate::bounds;
+use crate::conn::ConnId;
+use crate::fastcgi;
+use crate::intake::{Intake, Request, Said};
+use crate::ring::Ring;
+
+pub(super) struct Client {
+    pub(super) intake: Intake,
+    /// What was read, while too much waits to be written to read on.
+    pub(super) paused: Option<Ring>,
+    /// None while the coroutine writes.
+    pub(super) out: Option<Ring>,
+    /// When something last came, and when it was last handed something to write.
+    pub(super) heard: Tenths,
+    pub(super) wrote: Tenths,
+    pub(super) outbox: Outbox,
+    pub(super) accesses: FxHashMap<u16, AccessId>,
+    /// Nothing more will be read.
+    pub(super) ended: bool,
+}
+
+impl Reducer {
+    pub(super) fn client_read(&mut self, conn: ConnId, mut ring: Ring, ended: bool, at: Tenths) {
+        loop {
+            let Some(client) = self.work.clients.get_mut(&conn) else { return };
+            let before = client.intake.held();
+            let room = self.work.bounds.bodies.saturating_sub(self.work.bodies);
+            let said = client.intake.next(&mut ring, room);
+            let after = client.intake.held();
+            self.work.bodies = (self.work.bodies + after).saturating_sub(before);
+            match said {
+                Ok(Some(said)) => self.said(conn, said, at),
+                Ok(None) => break,
+                Err(fastcgi::Broken) => {
+                    log::warn!("a client's record can't be read");
+                    return self.drop_client(conn);
+                }
+            }
+        }
+        let Some(client) = self.work.clients.get_mut(&conn) else { return };
+        if ended {
+            return self.drop_client(conn);
+        }
+        client.heard = self.work.now;
+        client.ended = client.intake.last;
+        if client.outbox.crowded() {
+            client.paused = Some(ring);
+        } else {
+            self.work.effects.push(Effect::Read(conn, ring));
+        }
+    }
+
+    pub(super) fn said(&mut self, conn: ConnId, said: Said, at: Tenths) {
+        let work = &mut self.work;
+        match said {
+            Said::Ask(id, request) => self.take(conn, id, request, at),
+            Said::Check(id) => {
+                let status = if work.phase.serving() { 200 } else { 503 };
+                work.reply(conn, id, Reply::bare(status));
+            }
+            Said::Unusable(id, status, why) => {
+                log::warn!("a request can't be used: {why}");
+                work.reply(conn, id, Reply::bare(status));
+            }
+            Said::Twice(id) => {
+                log::warn!("a request can't be used: its id is in use");
+                if let Some(client) = work.clients.get_mut(&conn) {
+                    client.outbox.put(id, Reply::bare(400), true);
+                    work.write_client(conn);
+                }
+            }
+            Said::Abort(id) => {
+                if let Some(client) = work.clients.get_mut(&conn) {
+                    let held = client.outbox.held;
+                    client.outbox.forget(id);
+                    work.bodies -= held - client.outbox.held;
+                    if let Some(access) = client.accesses.remove(&id) {
+                        self.leave(access);
+                    }
+                }
+            }
+            Said::Over(id, status) => {
+                work.reply_plain(conn, fastcgi::end_request(id, status).to_vec());
+            }
+            Said::Reply(bytes) => work.reply_plain(conn, bytes),
+        }
+    }
+
+    /// Takes an access, unless its fields can't be used.
+    pub(super) fn take(&mut self, conn: ConnId, id: u16, request: Box<Request>, at: Tenths) {
+        let work = &mut self.work;
+        let Some(offering) = work.offerings.iter().position(|o| *o == request.offering) else {
+            log::warn!("a request can't be used: its class is unknown");
+            return work.reply(conn, id, Reply::bare(404));
+        };
+        // Nothing was pushed yet, so trying again is harmless.
+        if !work.phase.takes() || work.bodies + 2 * request.body.len() > work.bounds.bodies {
+            return work.reply(conn, id, Reply::bare(503));
+        }
+        let Some(client) = work.clients.get_mut(&conn) else { return };
+        let access = work.next_access;
+        work.next_access += 1;
+        client.accesses.insert(id, access);
+        // Once for the access, and once more on its way to a cache.
+        work.bodies += 2 * request.body.len();
+        let until = (at + work.ahead).min(work.now) + request.wait_ms * 10;
+        let asked = Access {
+            id: access,
+            offering,
+            object: request.object,
+            part: request.part,
+            group: request.group,
+            kb: request.kb,
+            until,
+        };
+        work.accesses.insert(access, Taken { client: conn, id, request, done: false, sent: Vec::new() });
+        work.most.accesses = work.most.accesses.max(work.accesses.len());
+        self.front.access(work.now, &asked, work);
+    }
+
+    /// The client does not wait any more.
+    pub(super) fn leave(&mut self, access: AccessId) {
+        if let Some(taken) = self.work.accesses.get_mut(&access)
+            && !std::mem::replace(&mut taken.done, true)
+        {
+            self.front.left(access, &mut self.work);
+            self.work.tidy(access);
+        }
+    }
+
+    pub(super) fn drop_client(&mut self, conn: ConnId) {
+        let Some(client) = self.work.clients.remove(&conn) else { return };
+        self.work.bodies = self.work.bodies.saturating_sub(client.outbox.held + client.intake.held());
+        self.work.close(conn);
+        for access in client.accesses.into_values() {
+            self.leave(access);
+        }
+        self.work.unpark();
+    }
+
+    pub(super) fn client_wrote(&mut self, conn: ConnId, ring: Ring, failed: bool) {
+        let work = &mut self.work;
+        let Some(client) = work.clients.get_mut(&conn) else { return };
+        client.out = Some(ring);
+        if failed {
+            return self.drop_client(conn);
+        }
+        work.write_client(conn);
+        let at = work.now - work.ahead;
+        if let Some(client) = work.clients.get_mut(&conn)
+            && !client.outbox.crowded()
+            && let Some(ring) = client.paused.take()
+        {
+            self.client_read(conn, ring, false, at);
+        }
+        let over = |c: &Client| c.ended && c.intake.open() == 0 && c.outbox.is_empty() && c.out.is_some();
+        if self.work.clients.get(&conn).is_some_and(over) {
+            self.drop_client(conn);
+        }
+    }
+}
+
+impl Work {
+    pub(super) fn accepted(&mut self, conn: ConnId) {
+        if self.clients.len() >= self.bounds.clients {
+            log::warn!("no descriptor left for a client");
+            return self.close(conn);
+        }
+        let client = Client {
+            intake: Intake::default(),
+            paused: None,
+            out: Some(Ring::new(bounds::CLIENT_OUT)),
+            heard: self.now,
+            wrote: self.now,
+            outbox: Outbox::default(),
+            accesses: FxHashMap::default(),
+            ended: false,
+        };
+        self.clients.insert(conn, client);
+        // What was lent is taken back, as far as it is not in use.
+        while self.lines_used() > self.bounds.lines_with(self.clients.len()) && self.close_idle().is_some() {}
+        self.most.clients = self.most.clients.max(self.clients.len());
+        self.effects.push(Effect::Read(conn, Ring::new(bounds::CLIENT_IN)));
+    }
+
+    pub(super) fn write_client(&mut self, conn: ConnId) {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        let Some(mut ring) = client.out.take() else { return };
+        let Client { outbox, intake, accesses, .. } = client;
+        let held = outbox.held;
+        outbox.fill(&mut ring, |id| {
+            intake.end(id);
+            accesses.remove(&id);
+        });
+        self.bodies = self.bodies.saturating_sub(held - outbox.held);
+        if ring.is_empty() {
+            client.out = Some(ring);
+        } else {
+            client.wrote = self.now;
+            self.effects.push(Effect::Write(conn, ring));
+        }
+        if held > 0 {
+            self.unpark();
+        }
+    }
+
+    pub(super) fn reply(&mut self, conn: ConnId, id: u16, reply: Reply<'_>) {
+        let Some(client) = self.clients.get_mut(&conn) else {
+            self.bodies = self.bodies.saturating_sub(reply.body.len());
+            return;
+        };
+        client.outbox.put(id, reply, false);
+        self.write_client(conn);
+    }
+
+    pub(super) fn reply_plain(&mut self, conn: ConnId, bytes: Vec<u8>) {
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.outbox.put_plain(bytes);
+            self.write_client(conn);
+        }
+    }
+
+    /// The one final answer of an access.
+    pub(super) fn answer(&mut self, access: AccessId, reply: Reply<'_>) {
+        if let Some(taken) = self.accesses.get_mut(&access) {
+            taken.done = true;
+            let (client, id) = (taken.client, taken.id);
+            self.reply(client, id, reply);
+        }
+    }
+
+    pub(super) fn tidy(&mut self, access: AccessId) {
+        let over = |t: &Taken| t.done && t.sent.iter().all(|s| !s.live);
+        if self.accesses.get(&access).is_some_and(over)
+            && !self.ends.iter().any(|e| e.0 == access)
+            && let Some(taken) = self.accesses.remove(&access)
+        {
+            self.bodies = self.bodies.saturating_sub(2 * taken.request.body.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/reducer/pushes.rs
@@ -0,0 +1,251 @@
+//! The reducer's dealings with caches: pushes on their way, and the connections that carry them.
+
+use std::fmt;
+
+use doorgrade::{AccessId, Outcome, Outlet, Push, Tenths};
+
+use super::{Effect, Taken, Timer, Work};
+use crate::answer::Reply;
+use crate::bounds;
+use crate::conn::ConnId;
+use crate::http::{self, Ask};
+use crate::push::{self, Got, Line, Progress, State};
+use crate::ring::Ring;
+
+pub(super) struct Sent {
+    /// The cache and the source.
+    pub(super) names: [Option<u32>; 2],
+    pub(super) at: Tenths,
+    pub(super) conn: Option<ConnId>,
+    /// Kept until a connection is up.
+    pub(super) request: Vec<u8>,
+    pub(super) live: bool,
+}
+
+impl Work {
+    pub(super) fn connected(&mut self, conn: ConnId, up: bool) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        if !up {
+            let carries = line.carries.take();
+            self.lines.remove(&conn);
+            if let Some((access, push)) = carries {
+                self.end_push(access, push, Got::bare(Outcome::Unreachable));
+            }
+            return;
+        }
+        line.out = Some(Ring::new(bounds::LINE_OUT));
+        (line.state, line.since) = (State::Idle, self.now);
+        let (cache, carries) = (line.cache, line.carries);
+        self.effects.push(Effect::Read(conn, Ring::new(bounds::LINE_IN)));
+        match carries {
+            Some((access, push)) => self.send(conn, access, push),
+            None if self.places.contains_key(&cache) => self.pools.put(cache, conn),
+            None => self.close(conn),
+        }
+    }
+
+    /// Writes a push's request on a connection that is up and free.
+    pub(super) fn send(&mut self, conn: ConnId, access: AccessId, push: usize) {
+        let Some(taken) = self.accesses.get_mut(&access) else { return };
+        let Some(sent) = taken.sent.get_mut(push) else { return };
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        sent.conn = Some(conn);
+        line.carries = Some((access, push));
+        line.begin(std::mem::take(&mut sent.request), taken.request.tag.is_some());
+        if let Some(ring) = line.to_write() {
+            self.effects.push(Effect::Write(conn, ring));
+        }
+    }
+
+    pub(super) fn line_wrote(&mut self, conn: ConnId, ring: Ring, failed: bool) {
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.out = Some(ring);
+            // A failed write is not the end yet: an answer may be there to be read.
+            if !failed && let Some(ring) = line.to_write() {
+                self.effects.push(Effect::Write(conn, ring));
+            }
+        }
+    }
+
+    pub(super) fn line_read(&mut self, conn: ConnId, mut ring: Ring, ended: bool) {
+        let room = self.bounds.bodies.saturating_sub(self.bodies);
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        let before = line.held();
+        let progress = line.take(&mut ring, room);
+        self.bodies = (self.bodies + line.held()).saturating_sub(before);
+        self.most.bodies = self.most.bodies.max(self.bodies);
+        let cache = line.cache;
+        match progress {
+            Progress::Whole(got, closes) => {
+                // From here on the bytes are the answer's.
+                self.bodies += got.body.len();
+                line.since = self.now;
+                let carries = line.carries.take();
+                if ended || closes || !self.places.contains_key(&cache) {
+                    self.close(conn);
+                } else {
+                    line.state = State::Idle;
+                    self.pools.put(cache, conn);
+                    self.effects.push(Effect::Read(conn, ring));
+                }
+                if let Some((access, push)) = carries {
+                    self.end_push(access, push, got);
+                }
+            }
+            Progress::More if !ended => self.effects.push(Effect::Read(conn, ring)),
+            Progress::Needs(_) if !ended => {
+                line.parked = Some(ring);
+                self.parked.push_back(conn);
+            }
+            Progress::More | Progress::Needs(_) => self.break_line(conn, "it ended too soon"),
+            Progress::Broken(why) => self.break_line(conn, why),
+        }
+    }
+
+    pub(super) fn break_line(&mut self, conn: ConnId, why: &str) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        let (cache, carries) = (line.cache, line.carries.take());
+        self.pools.remove(cache, conn);
+        self.close(conn);
+        if let Some((access, push)) = carries {
+            log::info!("an answer of s-{cache:08x} is broken: {why}");
+            self.end_push(access, push, Got::bare(Outcome::Broken));
+        }
+    }
+
+    /// Room for bodies has come free: answers that waited for it go on, the first first.
+    pub(super) fn unpark(&mut self) {
+        for _ in 0..self.parked.len() {
+            let Some(conn) = self.parked.pop_front() else { return };
+            if let Some(ring) = self.lines.get_mut(&conn).and_then(|l| l.parked.take()) {
+                self.line_read(conn, ring, false);
+            }
+        }
+    }
+
+    pub(super) fn end_push(&mut self, access: AccessId, push: usize, got: Got) {
+        if let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) {
+            (sent.live, sent.conn, sent.request) = (false, None, Vec::new());
+        }
+        self.ends.push_back((access, push, got));
+    }
+
+    /// Gives a push up: a connection that carries it is closed, one that is being made is kept for another.
+    pub(super) fn stop_push(&mut self, access: AccessId, push: usize, outcome: Outcome) {
+        let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) else { return };
+        if !sent.live {
+            return;
+        }
+        if let Some(conn) = sent.conn
+            && let Some(line) = self.lines.get_mut(&conn)
+        {
+            line.carries = None;
+            if line.state != State::Connecting {
+                self.close(conn);
+            }
+        }
+        self.end_push(access, push, Got::bare(outcome));
+    }
+
+    /// Word has come that some pushes must heed. Those that still wait for a connection have not: a connection may
+    /// take longer than the word's grace. They end as never sent, and the module decides anew.
+    pub(super) fn recall(&mut self, concerned: impl Fn(&Taken, &Sent) -> bool) {
+        let mut stale = Vec::new();
+        for (&access, taken) in &self.accesses {
+            let waits = |s: &Sent| s.live && !s.request.is_empty() && concerned(taken, s);
+            stale.extend((0..taken.sent.len()).filter(|&n| waits(&taken.sent[n])).map(|n| (access, n)));
+        }
+        stale.sort_unstable();
+        for (access, push) in stale {
+            self.stop_push(access, push, Outcome::NeverSent);
+        }
+    }
+
+    /// Closes the connection to a cache that is idle longest.
+    pub(super) fn close_idle(&mut self) -> Option<()> {
+        let idle = self.lines.iter().filter(|(_, l)| l.state == State::Idle && l.carries.is_none());
+        let (conn, cache) = idle.min_by_key(|(_, l)| l.since).map(|(&c, l)| (c, l.cache))?;
+        self.pools.remove(cache, conn);
+        self.close(conn);
+        // Its descriptor is given back before the next is asked for: effects go in order.
+        self.closing.insert(conn, false);
+        Some(())
+    }
+
+    /// A connection for a push: an idle one, or a new one where descriptors allow.
+    pub(super) fn carry(&mut self, cache: u32, access: AccessId, push: usize) -> Option<()> {
+        let at = self.places.get(&cache)?.at;
+        if let Some(conn) = self.pools.get(cache) {
+            self.send(conn, access, push);
+            return Some(());
+        }
+        if self.lines_used() >= self.bounds.lines_with(self.clients.len()) {
+            self.close_idle()?;
+        }
+        let conn = self.connect(at);
+        self.lines.insert(conn, Line::new(cache, (access, push), self.now));
+        self.most.lines = self.most.lines.max(self.lines_used());
+        if let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) {
+            sent.conn = Some(conn);
+        }
+        Some(())
+    }
+}
+
+impl Outlet for Work {
+    fn push(&mut self, p: &Push<'_>) {
+        let Some(taken) = self.accesses.get_mut(&p.access) else { return };
+        let number = taken.sent.len();
+        let r = &*taken.request;
+        let ask = Ask {
+            offering: &r.offering,
+            key: &r.key,
+            part: r.part,
+            id: &r.id,
+            wait_ms: (p.wait / 10).max(1),
+            source: Some(p.source).filter(|s| *s != p.cache),
+            rank: p.rank,
+            // 0 would mean the fresh time.
+            age_ms: if p.age > 0 { (p.age / 10).max(1) } else { 0 },
+            join: p.join,
+            kept_only: p.kept_only,
+            renew: p.renew,
+            have: r.tag.as_deref(),
+            body: &r.body,
+        };
+        let request = http::request(&ask);
+        log::debug!("push {:?}", String::from_utf8_lossy(&request));
+        let cache = push::number(p.cache).unwrap_or(u32::MAX);
+        let names = [Some(cache), ask.source.and_then(push::number)];
+        taken.sent.push(Sent { names, at: self.now, conn: None, request, live: true });
+        self.timers.set(self.now + p.wait, Timer::PushOver(p.access, number));
+        if self.carry(cache, p.access, number).is_none() {
+            self.end_push(p.access, number, Got::bare(Outcome::NeverSent));
+        }
+    }
+
+    fn withdraw(&mut self, access: AccessId, push: usize) {
+        self.stop_push(access, push, Outcome::Withdrawn);
+    }
+
+    fn decline(&mut self, access: AccessId, stay_away: Tenths) {
+        self.answer(access, Reply { stay_away, ..Reply::bare(503) });
+        self.tidy(access);
+    }
+
+    fn give_up(&mut self, access: AccessId) {
+        self.answer(access, Reply::bare(500));
+        self.tidy(access);
+    }
+
+    fn wake(&mut self, at: Tenths, key: u64) {
+        self.timers.set(at, Timer::Module(key));
+    }
+
+    /// The feed is followed from the start.
+    fn follow_list(&mut self) {}
+
+    fn log(&mut self, text: fmt::Arguments<'_>) {
+        log::info!("{text}");
+    }
+}
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -403,6 +403,10 @@
         *self.wholes.entry(port).or_default() += 1;
     }
 
+    pub fn clients(&self) -> usize {
+        self.conns.values().filter(|c| c.to.is_none()).count()
+    }
+
     /// The connections on which a cache has a request to answer.
     pub fn working(&self) -> Vec<ConnId> {
         self.conns.iter().filter(|(_, c)| c.busy.is_some()).map(|(&conn, _)| conn).collect()
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -372,3 +372,16 @@
     serve(&mut w);
     assert_eq!(w.answer_of(2).map(|a| a.status), Some(200));
 }
+
+#[test]
+fn clients_that_vanish_give_their_descriptors_back() {
+    let mut w = World::new(1, 128);
+    for _ in 0..100 {
+        let client = w.client();
+        // Half a request, and never the rest.
+        w.owe(client, &record(fastcgi::BEGIN_REQUEST, 1, &[0, 1, 1, 0, 0, 0, 0, 0], 0));
+    }
+    assert!(w.clients() < 60, "{} of 128 descriptors", w.clients());
+    w.pass(61_000 * MS);
+    assert_eq!(w.clients(), 0);
+}
