--- a/crates/front/tests/codecs.rs
+++ b/crates/front/tests/codecs.rs
@@ -288,7 +288,7 @@
         (r#""seed":"1f""#, r#""seed":"xyz""#, "seed"),
         (r#""sockets":128"#, r#""sockets":3"#, "limits.sockets"),
         (r#""sockets":128"#, r#""sockets":"many""#, "limits.sockets"),
-        (r#""memory_mb":64"#, r#""memory_mb":1"#, "limits.memory_mb"),
+        (r#""memory_mb":48"#, r#""memory_mb":1"#, "limits.memory_mb"),
         (r#""feed":"127.0.0.1:9092""#, r#""feed":7"#, "feed"),
         (r#""feed":"127.0.0.1:9092","#, "", "feed"),
         (r#""locality":"here""#, r#""locality":"there""#, "locality"),
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -33,7 +33,7 @@
     let mut members: Vec<_> = (1..).zip(CACHES).map(|(n, id)| member(id, 9100 + n, "cache")).collect();
     members.extend([member(PARENT, 9110, "parent"), member(ORIGIN, 9120, "origin")]);
     format!(
-        r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"1f","limits":{{"memory_mb":64,"sockets":{sockets}}},
+        r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"1f","limits":{{"memory_mb":48,"sockets":{sockets}}},
         "feed":"{FEED}","unknown":[1],"known":{{"n":1,"events":[{{"n":1,"members":
         {{"revision":1,"complete":true,"members":[{}]}}}}]}},"settings":{{"zone":0,"fleetSize":1,"quantum":2.0,
         "localities":["here"],"machineTypes":["cache","parent","origin"],"registryMode":"automatic",
@@ -159,6 +159,8 @@
     running: bool,
     /// By how much the system's clock was set back.
     back: Tenths,
+    /// Clients that read nothing.
+    pub stuck: BTreeSet<ConnId>,
     strays: Vec<u16>,
 }
 
@@ -185,6 +187,7 @@
             inputs: VecDeque::new(),
             running: false,
             back: 0,
+            stuck: BTreeSet::new(),
             strays: Vec::new(),
         };
         world.input(Input::Listening);
@@ -218,7 +221,9 @@
                 }
             }
             Effect::Write(conn, mut ring) => {
-                let Some(c) = self.conns.get_mut(&conn) else { return };
+                let Some(c) = self.conns.get_mut(&conn).filter(|_| !self.stuck.contains(&conn)) else {
+                    return;
+                };
                 c.got.extend_from_slice(ring.whole());
                 ring.clear();
                 self.understand(conn);
@@ -403,6 +408,11 @@
         *self.wholes.entry(port).or_default() += 1;
     }
 
+    /// Bytes that the front has not read yet.
+    pub fn unread(&self, conn: ConnId) -> usize {
+        self.conns[&conn].owed.len()
+    }
+
     pub fn clients(&self) -> usize {
         self.conns.values().filter(|c| c.to.is_none()).count()
     }
@@ -463,7 +473,8 @@
             self.now = next.min(self.now + 50);
             self.input(Input::Tick);
             for t in self.taken.values() {
-                let fine = t.aborted || t.answer.is_some() || self.now <= t.until + SLACK;
+                let reads = !t.aborted && !self.stuck.contains(&t.client);
+                let fine = !reads || t.answer.is_some() || self.now <= t.until + SLACK;
                 assert!(fine, "rule 1: no final answer in time");
             }
         }
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -3,6 +3,8 @@
 mod helper;
 
 use doorgrade::Tenths;
+use doorgrade_front::bounds::Bounds;
+use doorgrade_front::config::Limits;
 use doorgrade_front::fastcgi;
 use doorgrade_front::reducer::Input;
 use helper::*;
@@ -385,3 +387,38 @@
     w.pass(61_000 * MS);
     assert_eq!(w.clients(), 0);
 }
+
+#[test]
+fn a_client_that_reads_nothing_is_read_no_further_and_closed() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    w.stuck.insert(client);
+    let values = record(fastcgi::GET_VALUES, 0, &[], 0);
+    w.owe(client, &values.repeat(20_000));
+    assert!(w.unread(client) > 100_000, "the front reads on though nothing is taken");
+    w.pass(11_000 * MS);
+    assert_eq!(w.clients(), 0);
+}
+
+#[test]
+fn answers_nobody_reads_hold_no_more_than_the_bound_and_others_are_served_again() {
+    let mut w = World::new(1, 128);
+    let bound = Bounds::new(&Limits { memory_mb: 48, sockets: 128 }).bodies;
+    let clients: Vec<_> = (0..30).map(|_| w.client()).collect();
+    w.stuck.extend(&clients);
+    let mut call = 0;
+    for _ in 0..32 {
+        for &client in &clients {
+            call += 1;
+            w.ask(client, 1 + (call / 30) as u16, call, 1, call, 3_000);
+            serve(&mut w);
+            assert!(w.reducer.most().bodies <= bound, "{:?}", w.reducer.most());
+        }
+    }
+    assert!(w.reducer.most().bodies > bound - 240_000, "the bound was reached");
+    w.pass(12_000 * MS);
+    let client = w.client();
+    w.ask(client, 1, 5_000, 1, 5, 1_000);
+    serve(&mut w);
+    assert_eq!(w.answer_of(5_000).map(|a| a.status), Some(200));
+}
