--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -154,10 +154,10 @@
                 false => (&mut coming.body, MOST_WRITE),
             };
             if to.len() + content.len() > most {
-                coming.excess = Some((413, "it is too long"));
+                coming.excess = Some((413, "a request is too long"));
             } else if full {
                 // Nothing was pushed, so trying again is harmless.
-                coming.excess = coming.excess.or(Some((503, "no room for it")));
+                coming.excess = coming.excess.or(Some((503, "no room for a request")));
             }
             if coming.excess.is_none() {
                 to.extend_from_slice(content);
@@ -225,7 +225,7 @@
     let [mut path, mut id, mut wait, mut key] = [None; 4];
     let [mut part, mut group, mut kb, mut tag] = [None; 4];
     while !rest.is_empty() {
-        let (name, value) = fastcgi::pair(&mut rest).ok_or("its parameters end too soon")?;
+        let (name, value) = fastcgi::pair(&mut rest).ok_or("a request's parameters end too soon")?;
         let slot = match name {
             b"SCRIPT_NAME" => &mut path,
             b"HTTP_REQ_ID" => &mut id,
@@ -237,13 +237,13 @@
             b"HTTP_X_ETAG" => &mut tag,
             _ => continue,
         };
-        *slot = Some(std::str::from_utf8(value).map_err(|_| "a field is no text")?);
+        *slot = Some(std::str::from_utf8(value).map_err(|_| "a request's field is no text")?);
     }
     let path = path.ok_or("SCRIPT_NAME is missing")?;
     if path == "/check" {
         return Ok(None);
     }
-    let offering = path.strip_prefix("/do/").ok_or("its path is unknown")?;
+    let offering = path.strip_prefix("/do/").ok_or("a request's path is unknown")?;
     let id = id.filter(|id| hex(id).is_some()).ok_or("Req-Id is missing or unusable")?;
     let key = key.ok_or("Req-Key is missing")?;
     let number = |text: Option<&str>| text.map_or(Some(0), |t| t.parse::<u64>().ok());
--- a/crates/front/src/push.rs
+++ b/crates/front/src/push.rs
@@ -16,14 +16,13 @@
     pub note: Note,
     pub status: u16,
     pub tag: Option<String>,
-    pub made_at: Option<u64>,
     pub body: Vec<u8>,
 }
 
 impl Got {
     /// An end that no answer tells of.
     pub fn bare(outcome: Outcome) -> Self {
-        Got { outcome, note: Note::Untold, status: 0, tag: None, made_at: None, body: Vec::new() }
+        Got { outcome, note: Note::Untold, status: 0, tag: None, body: Vec::new() }
     }
 }
 
@@ -45,8 +44,6 @@
     Connecting,
     Busy,
     Idle,
-    /// To be closed; its descriptor is not yet given back.
-    Closing,
 }
 
 /// A connection to a cache.
@@ -70,8 +67,8 @@
 /// What reading has come to.
 pub enum Progress {
     More,
-    /// The body of this many bytes needs room first.
-    Needs(usize),
+    /// Its body needs more room than there is.
+    Needs,
     Whole(Got, bool),
     Broken(&'static str),
 }
@@ -126,7 +123,7 @@
                 Ok(None) => return Progress::More,
                 Ok(Some((head, size))) => {
                     if head.length > room {
-                        return Progress::Needs(head.length);
+                        return Progress::Needs;
                     }
                     ring.consume(size);
                     if head.status >= 200 {
@@ -150,9 +147,6 @@
         if !ring.is_empty() {
             return Progress::Broken("bytes follow its end");
         }
-        if head.status == 200 && head.made_at.is_none() {
-            log::debug!("an answer 200 without Made-At");
-        }
         let unsent = self.sent < self.request.len();
         let Some(head) = self.head.take() else { return Progress::More };
         let got = Got {
@@ -160,7 +154,6 @@
             note: head.note,
             status: head.status,
             tag: head.tag,
-            made_at: head.made_at,
             body: std::mem::take(&mut self.body),
         };
         Progress::Whole(got, head.closes || unsent)
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -131,6 +131,9 @@
     parked: VecDeque<ConnId>,
     most: Most,
     told_at: Tenths,
+    /// Not yet in the log, and when the last was.
+    complaints: usize,
+    complained_at: Tenths,
     /// By how much `now` is ahead of the system's clock, which was set back.
     ahead: Tenths,
 }
@@ -165,6 +168,8 @@
                 parked: VecDeque::new(),
                 most: Most::default(),
                 told_at: now,
+                complaints: 0,
+                complained_at: 0,
                 ahead: 0,
             },
         };
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -26,6 +26,8 @@
     pub(super) ended: bool,
 }
 
+const COMPLAINTS: Tenths = 10_000;
+
 impl Reducer {
     pub(super) fn client_read(&mut self, conn: ConnId, mut ring: Ring, ended: bool, at: Tenths) {
         loop {
@@ -39,7 +41,7 @@
                 Ok(Some(said)) => self.said(conn, said, at),
                 Ok(None) => break,
                 Err(fastcgi::Broken) => {
-                    log::warn!("a client's record can't be read");
+                    self.work.complain("a client's record can't be read");
                     return self.drop_client(conn);
                 }
             }
@@ -66,11 +68,11 @@
                 work.reply(conn, id, Reply::bare(status));
             }
             Said::Unusable(id, status, why) => {
-                log::warn!("a request can't be used: {why}");
+                work.complain(why);
                 work.reply(conn, id, Reply::bare(status));
             }
             Said::Twice(id) => {
-                log::warn!("a request can't be used: its id is in use");
+                work.complain("a request's id is in use");
                 if let Some(client) = work.clients.get_mut(&conn) {
                     client.outbox.put(id, Reply::bare(400), true);
                     work.write_client(conn);
@@ -80,7 +82,7 @@
                 if let Some(client) = work.clients.get_mut(&conn) {
                     let held = client.outbox.held;
                     client.outbox.forget(id);
-                    work.bodies -= held - client.outbox.held;
+                    work.bodies = work.bodies.saturating_sub(held - client.outbox.held);
                     if let Some(access) = client.accesses.remove(&id) {
                         self.leave(access);
                     }
@@ -97,7 +99,7 @@
     pub(super) fn take(&mut self, conn: ConnId, id: u16, request: Box<Request>, at: Tenths) {
         let work = &mut self.work;
         let Some(offering) = work.offerings.iter().position(|o| *o == request.offering) else {
-            log::warn!("a request can't be used: its class is unknown");
+            work.complain("a request's class is unknown");
             return work.reply(conn, id, Reply::bare(404));
         };
         // Nothing was pushed yet, so trying again is harmless.
@@ -170,7 +172,7 @@
 impl Work {
     pub(super) fn accepted(&mut self, conn: ConnId) {
         if self.clients.len() >= self.bounds.clients {
-            log::warn!("no descriptor left for a client");
+            self.complain("no descriptor left for a client");
             return self.close(conn);
         }
         let client = Client {
@@ -190,6 +192,15 @@
         self.effects.push(Effect::Read(conn, Ring::new(bounds::CLIENT_IN)));
     }
 
+    /// What clients do wrong, a line a second at the most: nobody may flood the log from outside.
+    pub(super) fn complain(&mut self, what: &str) {
+        self.complaints += 1;
+        if self.now >= self.complained_at + COMPLAINTS {
+            log::warn!("{what} ({} such since the last line)", self.complaints);
+            (self.complaints, self.complained_at) = (0, self.now);
+        }
+    }
+
     pub(super) fn write_client(&mut self, conn: ConnId) {
         let Some(client) = self.clients.get_mut(&conn) else { return };
         let Some(mut ring) = client.out.take() else { return };
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -93,11 +93,11 @@
                 }
             }
             Progress::More if !ended => self.effects.push(Effect::Read(conn, ring)),
-            Progress::Needs(_) if !ended => {
+            Progress::Needs if !ended => {
                 line.parked = Some(ring);
                 self.parked.push_back(conn);
             }
-            Progress::More | Progress::Needs(_) => self.break_line(conn, "it ended too soon"),
+            Progress::More | Progress::Needs => self.break_line(conn, "it ended too soon"),
             Progress::Broken(why) => self.break_line(conn, why),
         }
     }
--- a/crates/front/tests/program.rs
+++ b/crates/front/tests/program.rs
@@ -3,7 +3,7 @@
 #[path = "../../../examples/toy/mod.rs"]
 mod toy;
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -78,6 +78,16 @@
     let (head, _) = client.ask("unheard-of", key, 2_000).unwrap();
     assert!(head.starts_with("Status: 404"), "{head}");
 
+    // Whoever speaks no FastCGI is cut off; others notice nothing.
+    for garbage in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0xff; 70_000], &[1, 1, 0, 1, 0xff, 0xff, 0, 0]] {
+        let mut stream = std::net::TcpStream::connect(front.at).unwrap();
+        let _ = stream.write_all(garbage);
+        if garbage[0] != 1 {
+            assert!(matches!(stream.read(&mut [0; 8]), Ok(0) | Err(_)), "it is closed");
+        }
+    }
+    assert!(client.ask("images", key, 2_000).unwrap().0.starts_with("Status: 200"));
+
     // The cache that holds it dies: the other serves.
     let (dead, left) = if one.served.load(Ordering::SeqCst) > 0 { (&one, &two) } else { (&two, &one) };
     dead.kill();
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -325,10 +325,12 @@
 fn only_a_serving_front_says_that_it_is_ready() {
     let mut w = World::new(1, 128);
     let client = w.client();
-    w.owe(client, &request(1, "/check", &[], &[], 0));
+    let check = request(1, "/check", &[], &[], 0);
+    assert_eq!(w.stray(client, &check), Some(200));
     w.input(Input::Stop);
-    w.owe(client, &record(fastcgi::GET_VALUES, 0, &[], 0));
-    assert!(!w.exited);
+    assert_eq!(w.stray(client, &check), Some(503));
+    w.pass(1_000 * MS);
+    assert!(w.exited);
 }
 
 #[test]
