A push that was never written when its time is up counts as never sent

Seen while reading stop_push: a push still waiting for its connection at the end of its wait was reported as timed out, so an unrepeatable access was given up though nothing can have run. Now it ends as never sent and is declined, which clients may repeat; a test holds the connection back.

--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -136,6 +136,9 @@
         if !sent.live {
             return;
         }
+        // What was never written can't have run, however long it waited for its connection.
+        let unsent = outcome == Outcome::TimedOut && !sent.request.is_empty();
+        let outcome = if unsent { Outcome::NeverSent } else { outcome };
         if let Some(conn) = sent.conn
             && let Some(line) = self.lines.get_mut(&conn)
         {
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -424,3 +424,13 @@
     serve(&mut w);
     assert_eq!(w.answer_of(5_000).map(|a| a.status), Some(200));
 }
+
+#[test]
+fn an_unrepeatable_access_that_was_never_written_is_declined_when_its_time_is_up() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    w.ask(client, 1, 1, 2, 5, 300);
+    w.pass(300 * MS);
+    assert_eq!(w.answer_of(1).map(|a| a.status), Some(503));
+    assert_eq!(w.pushes_of(1), 0);
+}
