Own lack of descriptors blames no cache; a start waits for an address still in use

The reducer took every failed connection for a cache that can't be reached: with the process's own limit below the one told it would have left all caches alone. A push that could not be tried ends as never sent. A restarted front waits up to 2 s for the one before it.

--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -1,5 +1,6 @@
 //! Takes in clients' connections.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
@@ -11,9 +12,20 @@
 /// Accepted connections are numbered from here on, those asked for from 0.
 pub const FIRST: ConnId = 1 << 63;
 
+/// The front that had the address before may still be on its way out: a short wait.
+fn bind(on: SocketAddr) -> std::io::Result<TcpListener> {
+    for _ in 0..20 {
+        match TcpListener::bind(on) {
+            Err(e) if e.kind() == ErrorKind::AddrInUse => std::thread::sleep(Duration::from_millis(100)),
+            bound => return bound,
+        }
+    }
+    TcpListener::bind(on)
+}
+
 /// Listens, and reports each connection as it comes up, for as long as the program runs.
 pub fn listen(on: SocketAddr, events: Sender<Event>) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind(on)?;
+    let listener = bind(on)?;
     let local = listener.local_addr()?;
     conn::spawn(move || {
         let mut next = FIRST;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -9,7 +9,7 @@
 use doorgrade_front::clock::Clock;
 use doorgrade_front::config::Config;
 use doorgrade_front::conn::{self, ConnId, Event, Port};
-use doorgrade_front::reducer::{Effect, Input, Reducer};
+use doorgrade_front::reducer::{Effect, Input, Made, Reducer};
 use doorgrade_front::{accept, logger};
 use rustc_hash::FxHashMap;
 
@@ -88,11 +88,13 @@
             }
             Event::Connected(conn, Ok(port)) => {
                 self.ports.insert(conn, port);
-                Input::Connected(conn, true)
+                Input::Connected(conn, Made::Up)
             }
             Event::Connected(conn, Err(error)) => {
                 log::debug!("connection {conn} failed: {error}");
-                Input::Connected(conn, false)
+                let own = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM, libc::EADDRNOTAVAIL];
+                let own = error.raw_os_error().is_some_and(|e| own.contains(&e));
+                Input::Connected(conn, if own { Made::NoMeans } else { Made::Refused })
             }
             Event::Read { conn, ring, ended, at } => Input::Read { conn, ring, ended, at },
             Event::Wrote { conn, ring, failed } => Input::Wrote { conn, ring, failed },
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -22,12 +22,20 @@
 use clients::Client;
 use pushes::Sent;
 
+/// What came of a connection that was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Made {
+    Up,
+    Refused,
+    /// Nobody was asked: this machine has no descriptor or no address left.
+    NoMeans,
+}
+
 /// One thing that has happened.
 pub enum Input {
     Listening,
     Accepted(ConnId),
-    /// A connection that was asked for is up (or not).
-    Connected(ConnId, bool),
+    Connected(ConnId, Made),
     Read {
         conn: ConnId,
         ring: Ring,
@@ -212,10 +220,10 @@
                 self.work.timers.set(self.work.now + SWEEP, Timer::Sweep);
             }
             Input::Accepted(conn) => self.work.accepted(conn),
-            Input::Connected(conn, up) if self.work.feed.conn == Some(conn) => {
-                self.work.feed_connected(conn, up);
+            Input::Connected(conn, made) if self.work.feed.conn == Some(conn) => {
+                self.work.feed_connected(conn, made);
             }
-            Input::Connected(conn, up) => self.work.connected(conn, up),
+            Input::Connected(conn, made) => self.work.connected(conn, made),
             Input::Read { conn, ring, ended, at } if self.work.clients.contains_key(&conn) => {
                 self.client_read(conn, ring, ended, at);
             }
@@ -408,8 +416,8 @@
         }
     }
 
-    fn feed_connected(&mut self, conn: ConnId, up: bool) {
-        if !up {
+    fn feed_connected(&mut self, conn: ConnId, made: Made) {
+        if made != Made::Up {
             let delay = self.feed.lost();
             return self.timers.set(self.now + delay, Timer::FeedConnect);
         }
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -4,7 +4,7 @@
 
 use doorgrade::{AccessId, Outcome, Outlet, Push, Tenths};
 
-use super::{Effect, Taken, Timer, Work};
+use super::{Effect, Made, Taken, Timer, Work};
 use crate::answer::Reply;
 use crate::bounds;
 use crate::conn::ConnId;
@@ -23,13 +23,14 @@
 }
 
 impl Work {
-    pub(super) fn connected(&mut self, conn: ConnId, up: bool) {
+    pub(super) fn connected(&mut self, conn: ConnId, made: Made) {
         let Some(line) = self.lines.get_mut(&conn) else { return };
-        if !up {
+        if made != Made::Up {
             let carries = line.carries.take();
             self.lines.remove(&conn);
+            let outcome = if made == Made::Refused { Outcome::Unreachable } else { Outcome::NeverSent };
             if let Some((access, push)) = carries {
-                self.end_push(access, push, Got::bare(Outcome::Unreachable));
+                self.end_push(access, push, Got::bare(outcome));
             }
             return;
         }
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -8,7 +8,7 @@
 use doorgrade_front::config::Config;
 use doorgrade_front::conn::ConnId;
 use doorgrade_front::fastcgi::{self, Decoder};
-use doorgrade_front::reducer::{Effect, Input, Reducer};
+use doorgrade_front::reducer::{Effect, Input, Made, Reducer};
 use doorgrade_front::ring::Ring;
 use fastrand::Rng;
 
@@ -408,6 +408,16 @@
         *self.wholes.entry(port).or_default() += 1;
     }
 
+    pub fn to(&self, conn: ConnId) -> u16 {
+        self.conns[&conn].to.unwrap_or(0)
+    }
+
+    /// A connection can't even be tried.
+    pub fn fail(&mut self, conn: ConnId) {
+        self.conns.remove(&conn);
+        self.input(Input::Connected(conn, Made::NoMeans));
+    }
+
     /// Bytes that the front has not read yet.
     pub fn unread(&self, conn: ConnId) -> usize {
         self.conns[&conn].owed.len()
@@ -433,7 +443,7 @@
         if !up {
             self.conns.remove(&conn);
         }
-        self.input(Input::Connected(conn, up));
+        self.input(Input::Connected(conn, if up { Made::Up } else { Made::Refused }));
     }
 
     /// A cache answers; 200 with the object.
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -434,3 +434,23 @@
     assert_eq!(w.answer_of(1).map(|a| a.status), Some(503));
     assert_eq!(w.pushes_of(1), 0);
 }
+
+#[test]
+fn a_machine_without_descriptors_blames_no_cache() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    for call in 0..20 {
+        w.ask(client, 1, call, 1, 5, 1_000);
+        let waiting: Vec<_> = w.connecting().into_iter().filter(|&c| w.to(c) != 9092).collect();
+        waiting.into_iter().for_each(|conn| w.fail(conn));
+        while let Some(&conn) = w.connecting().iter().find(|&&c| w.to(c) != 9092) {
+            w.fail(conn);
+        }
+        assert_eq!(w.answer_of(call).map(|a| a.status), Some(503));
+    }
+    w.ask(client, 1, 20, 1, 5, 1_000);
+    let first = w.connecting().into_iter().map(|c| w.to(c)).find(|&port| port != 9092);
+    w.ask(client, 2, 21, 1, 5, 1_000);
+    let again = w.connecting().into_iter().map(|c| w.to(c)).rfind(|&port| port != 9092);
+    assert_eq!(first, again, "the object's own cache is asked as before");
+}
