--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -364,7 +364,7 @@
         let silent = |c: &Client| c.accesses.is_empty() && c.outbox.is_empty() && c.heard + SILENT < now;
         let lost = work.clients.iter().filter(|(_, c)| unread(c) || silent(c));
         for conn in lost.map(|(&conn, _)| conn).collect::<Vec<_>>() {
-            log::info!("a client reads and says nothing: its connection is closed");
+            self.work.complain("a client reads and says nothing: its connection is closed");
             self.drop_client(conn);
         }
         self.work.unpark();
