--- a/crates/front/src/bounds.rs
+++ b/crates/front/src/bounds.rs
@@ -24,8 +24,9 @@
     pub fn new(limits: &Limits) -> Self {
         // Standard streams, epoll and its event, signals, listener, feed: eleven; some on their way to be closed.
         let other = 14 + limits.sockets / 100;
-        // The program itself with the module's tables; what a connection's coroutine and bookkeeping take.
-        const PROGRAM: usize = 24 << 20;
+        // The program itself with the module's tables (12 MB were seen); what a connection's coroutine and bookkeeping
+        // take (some 37 KB were seen for an idle client with its rings).
+        const PROGRAM: usize = 20 << 20;
         const COROUTINE: usize = 16 * 1024;
         const CLIENT: usize = CLIENT_IN + CLIENT_OUT + COROUTINE;
         const LINE: usize = LINE_IN + LINE_OUT + COROUTINE;
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -50,8 +50,13 @@
 }
 
 /// Fewer descriptors, or less memory, than this leave no room for both sides of one access.
-const LEAST_SOCKETS: usize = 64;
-const LEAST_MEMORY_MB: usize = 48;
+const LEAST_SOCKETS: usize = 32;
+const LEAST_MEMORY_MB: usize = 32;
+/// Of more than this no use is made: sums must not overflow.
+const MOST: usize = 1 << 20;
+
+/// The timers of coroutines take no more, and less could never be met; in tenths of a millisecond.
+const CONNECT_WITHIN: std::ops::RangeInclusive<u64> = 10..=600_000;
 
 fn at<T>(key: &str, read: Result<T, impl std::fmt::Display>) -> Result<T, String> {
     read.map_err(|e| format!("configuration: key '{key}': {e}"))
@@ -89,6 +94,9 @@
             );
         }
         let told = at("settings", doorgrade_settings::read(file.settings.get()))?;
+        if !CONNECT_WITHIN.contains(&told.connect_within) {
+            return at("settings.limits.connectTimeout", Err("is not from 1 ms to a minute"));
+        }
         if told.offerings.is_empty() {
             return at("settings.profiles", Err("is missing or empty"));
         }
@@ -101,7 +109,10 @@
             name,
             listen: at("listen", listen.parse())?,
             seed,
-            limits: file.limits,
+            limits: Limits {
+                memory_mb: file.limits.memory_mb.min(MOST),
+                sockets: file.limits.sockets.min(MOST),
+            },
             feed: at("feed", file.feed.parse())?,
             told,
             names,
