--- a/crates/front/src/bounds.rs
+++ b/crates/front/src/bounds.rs
@@ -22,10 +22,11 @@
 
 impl Bounds {
     pub fn new(limits: &Limits) -> Self {
-        // Standard streams, epoll and its event, signals, listener, feed: eleven; some on their way to be closed.
+        // Standard streams, epoll and its event, signals, listener, feed: eleven; some on their way to be
+        // closed.
         let other = 14 + limits.sockets / 100;
-        // The program itself with the module's tables (12 MB were seen); what a connection's coroutine and bookkeeping
-        // take (some 37 KB were seen for an idle client with its rings).
+        // The program itself with the module's tables (12 MB were seen); what a connection's coroutine and
+        // bookkeeping take (some 37 KB were seen for an idle client with its rings).
         const PROGRAM: usize = 20 << 20;
         const COROUTINE: usize = 16 * 1024;
         const CLIENT: usize = CLIENT_IN + CLIENT_OUT + COROUTINE;
@@ -42,8 +43,8 @@
         Bounds { clients, lines, bodies }
     }
 
-    /// How many connections to caches there may be while clients have so many. Half of what clients do not use is
-    /// lent: at tight limits it is worth more to accesses in hand than to clients that seldom come.
+    /// How many connections to caches there may be while clients have so many. Half of what clients do not
+    /// use is lent: at tight limits it is worth more to accesses in hand than to clients that seldom come.
     pub fn lines_with(&self, clients: usize) -> usize {
         self.lines + self.clients.saturating_sub(clients) / 2
     }
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -15,7 +15,8 @@
 #[derive(Default)]
 pub struct Clock {
     last: Tenths,
-    /// Set back by more than a moment, the system's clock is followed from where it had been: timers must go on.
+    /// Set back by more than a moment, the system's clock is followed from where it had been: timers must go
+    /// on.
     pub ahead: Tenths,
 }
 
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -50,7 +50,8 @@
         self.ask(Job::Write(ring));
     }
 
-    /// There is one ring a direction, so two jobs at the most; one whose coroutine has ended is reported closed.
+    /// There is one ring a direction, so two jobs at the most; one whose coroutine has ended is reported
+    /// closed.
     fn ask(&self, job: Job) {
         if let Some(jobs) = &self.jobs {
             let _ = jobs.try_send(job);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,5 +1,5 @@
-//! The real front: sockets around the decisions of `doorgrade`. `docs/architecture.md` has the life of a request.
-//! All state changes go through [`reducer`]; coroutines only read and write.
+//! The real front: sockets around the decisions of `doorgrade`. `docs/architecture.md` has the life of a
+//! request. All state changes go through [`reducer`]; coroutines only read and write.
 #![deny(unsafe_code)]
 
 pub mod accept;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,5 +1,5 @@
-//! `doorgrade`: the real front. Reads its configuration, then hands what happens to the reducer and does what it
-//! asks for.
+//! `doorgrade`: the real front. Reads its configuration, then hands what happens to the reducer and does what
+//! it asks for.
 #![forbid(unsafe_code)]
 
 use std::process::ExitCode;
--- a/crates/front/src/phase.rs
+++ b/crates/front/src/phase.rs
@@ -23,8 +23,8 @@
 pub struct Phase(State);
 
 impl Phase {
-    /// After the word to stop, connections come for up to 0.4 s and accesses on open ones for 0.2 s more; half as
-    /// long again, since an access that comes late would be lost.
+    /// After the word to stop, connections come for up to 0.4 s and accesses on open ones for 0.2 s more;
+    /// half as long again, since an access that comes late would be lost.
     const TAKEN_FOR: Tenths = 9_000;
     /// The hard stop comes this much after the longest hard limit (or [`Phase::LONGEST`]); 0.3 s are kept to
     /// write the last answers.
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -80,8 +80,8 @@
 const TOLD: Tenths = 100_000;
 /// A client that has not read a ring's worth in this time, the longest it may wait for an answer, never will.
 const UNREAD: Tenths = 100_000;
-/// A client to which nothing is owed and that says nothing for so long has vanished: clients close what is idle in
-/// seconds. Its descriptor would be lost.
+/// A client to which nothing is owed and that says nothing for so long has vanished: clients close what is
+/// idle in seconds. Its descriptor would be lost.
 const SILENT: Tenths = 600_000;
 
 struct Taken {
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -151,8 +151,8 @@
         self.end_push(access, push, Got::bare(outcome));
     }
 
-    /// Word has come that some pushes must heed. Those that still wait for a connection have not: a connection may
-    /// take longer than the word's grace. They end as never sent, and the module decides anew.
+    /// Word has come that some pushes must heed. Those that still wait for a connection have not: a
+    /// connection may take longer than the word's grace. They end as never sent, and the module decides anew.
     pub(super) fn recall(&mut self, concerned: impl Fn(&Taken, &Sent) -> bool) {
         let mut stale = Vec::new();
         for (&access, taken) in &self.accesses {
--- a/crates/front/tests/codecs.rs
+++ b/crates/front/tests/codecs.rs
@@ -1,4 +1,5 @@
-//! Each codec whole against split, its limits, and random bytes; the ring at its edges; configuration errors by key.
+//! Each codec whole against split, its limits, and random bytes; the ring at its edges; configuration errors
+//! by key.
 
 mod helper;
 
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -1,5 +1,5 @@
-//! A front without sockets: plays the clients, the caches, the feed and the clock against the reducer, and fails the
-//! test at the first broken rule.
+//! A front without sockets: plays the clients, the caches, the feed and the clock against the reducer, and
+//! fails the test at the first broken rule.
 #![allow(dead_code)] // Each test file uses a part.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -26,7 +26,8 @@
 /// What sending 100 KB takes at the settings' pace.
 const PUSH: Tenths = 110;
 
-/// A configuration: classes 0 `images` (fresh for 8 s), 1 `fonts` (until purged), 2 `orders` (unrepeatable writes).
+/// A configuration: classes 0 `images` (fresh for 8 s), 1 `fonts` (until purged), 2 `orders` (unrepeatable
+/// writes).
 pub fn config(sockets: usize) -> String {
     let member = |id: &str, port: u32, kind: &str| {
         format!(
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,5 @@
-//! The settings that operators give an instance, as nested JSON: read once, for the bench's adapter and the real
-//! front alike. Unknown settings are skipped.
+//! The settings that operators give an instance, as nested JSON: read once, for the bench's adapter and the
+//! real front alike. Unknown settings are skipped.
 #![forbid(unsafe_code)]
 
 use doorgrade::{Cold, Effect, Group, Notes, Offering, Powers, Settings, Tenths};
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -1,5 +1,5 @@
-//! What a front needs around it, on one machine: two caches, an origin and a control feed, at the addresses that
-//! `examples/config.json` names. Runs until it is stopped.
+//! What a front needs around it, on one machine: two caches, an origin and a control feed, at the addresses
+//! that `examples/config.json` names. Runs until it is stopped.
 
 #[path = "toy/mod.rs"]
 mod toy;
--- a/examples/toy/mod.rs
+++ b/examples/toy/mod.rs
@@ -1,5 +1,6 @@
-//! Stand-ins for what a front talks to, on loopback: caches, an origin, a control feed, and a client. Written from
-//! the public specifications (HTTP/1.1, FastCGI 1.0) for trying the front and for its tests; nobody's real server.
+//! Stand-ins for what a front talks to, on loopback: caches, an origin, a control feed, and a client. Written
+//! from the public specifications (HTTP/1.1, FastCGI 1.0) for trying the front and for its tests; nobody's
+//! real server.
 #![allow(dead_code)] // Each program that uses it needs a part.
 
 use std::collections::HashMap;
