--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -70,6 +70,8 @@
     pub status: u16,
     pub length: usize,
     pub closes: bool,
+    /// What follows goes on until the connection ends, and says nothing more.
+    pub open_ended: bool,
     pub not_begun: bool,
     pub tag: Option<String>,
     pub made_at: Option<u64>,
@@ -115,6 +117,7 @@
         status,
         length: 0,
         closes: parsed.version == Some(0),
+        open_ended: false,
         not_begun: false,
         tag: None,
         made_at: None,
@@ -150,6 +153,11 @@
     head.length = match (status, length) {
         (100..200 | 204 | 304, _) => 0,
         (_, Some(length)) => length,
+        // A refusal says all in its head.
+        (300.., None) => {
+            (head.closes, head.open_ended) = (true, true);
+            0
+        }
         (_, None) => return Err(Broken("its length is not told")),
     };
     Ok(Some((head, size)))
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -1,5 +1,6 @@
 //! A client's connection as it is read: records become requests. No I/O.
 
+use doorgrade::Tenths;
 use rustc_hash::FxHashMap;
 
 use crate::fastcgi::{self, Decoder};
@@ -17,7 +18,8 @@
 pub struct Request {
     pub offering: String,
     pub id: String,
-    pub wait_ms: u64,
+    /// How long the client waits, in tenths of a millisecond.
+    pub wait: Tenths,
     pub key: String,
     pub object: u64,
     pub part: u32,
@@ -247,12 +249,12 @@
     let id = id.filter(|id| hex(id).is_some()).ok_or("Req-Id is missing or unusable")?;
     let key = key.ok_or("Req-Key is missing")?;
     let number = |text: Option<&str>| text.map_or(Some(0), |t| t.parse::<u64>().ok());
-    let wait_ms = wait.and_then(|w| w.parse::<u64>().ok()).filter(|w| (1..=3_600_000).contains(w));
+    let wait = wait.and_then(|w| w.parse::<f64>().ok()).filter(|w| (1.0..=3_600_000.0).contains(w));
     let kb = kb.map_or(Some(0.0), |kb| kb.parse::<f64>().ok()).filter(|kb| (0.0..1e9).contains(kb));
     Ok(Some(Request {
         offering: offering.into(),
         id: id.into(),
-        wait_ms: wait_ms.ok_or("Req-Wait-Ms is missing or unusable")?,
+        wait: (wait.ok_or("Req-Wait-Ms is missing or unusable")? * 10.0) as Tenths,
         object: hex(key).ok_or("Req-Key is unusable")?,
         key: key.into(),
         part: number(part).and_then(|p| u32::try_from(p).ok()).ok_or("X-Seg is unusable")?,
--- a/crates/front/src/push.rs
+++ b/crates/front/src/push.rs
@@ -144,7 +144,7 @@
         if self.body.len() < head.length {
             return Progress::More;
         }
-        if !ring.is_empty() {
+        if !ring.is_empty() && !head.open_ended {
             return Progress::Broken("bytes follow its end");
         }
         let unsent = self.sent < self.request.len();
--- a/crates/front/tests/codecs.rs
+++ b/crates/front/tests/codecs.rs
@@ -228,6 +228,9 @@
     ] {
         assert!(http::head(bad.as_bytes()).is_err(), "{bad}");
     }
+    let refusal = http::head(b"HTTP/1.1 503 Busy\r\nNot-Begun: 1\r\n\r\ncome back later").expect("sound");
+    let (head, _) = refusal.expect("whole");
+    assert!(head.not_begun && head.closes && head.open_ended, "a refusal needs no length");
     let long = format!("HTTP/1.1 200 OK\r\nX: {}\r\n\r\n", "y".repeat(http::MOST_HEAD));
     assert!(http::head(long.as_bytes()).is_err());
 }
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -492,6 +492,13 @@
         self.owe(conn, &bytes);
     }
 
+    /// A cache refuses with a head alone, then text until the connection ends.
+    pub fn refuse_bare(&mut self, conn: ConnId) {
+        let Some((call, push)) = self.conns.get_mut(&conn).and_then(|c| c.busy.take()) else { return };
+        self.taken.get_mut(&call).expect("it was asked for").pushes[push] = true;
+        self.owe(conn, b"HTTP/1.1 503 Busy\r\nNot-Begun: 1\r\n\r\ncome back later");
+    }
+
     /// Word has come that a cache has just started.
     pub fn restarted(&mut self, port: u16) {
         self.started.insert(port, self.now);
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -465,3 +465,17 @@
     let again = w.connecting().into_iter().map(|c| w.to(c)).rfind(|&port| port != 9092);
     assert_eq!(first, again, "the object's own cache is asked as before");
 }
+
+#[test]
+fn a_refusal_without_a_length_counts_and_ends_its_connection() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    w.ask(client, 1, 1, 2, 5, 1_000);
+    for _ in 0..8 {
+        w.connecting().into_iter().for_each(|conn| w.connected(conn));
+        for conn in w.working() {
+            w.refuse_bare(conn);
+        }
+    }
+    assert_eq!(w.answer_of(1).map(|a| a.status), Some(503), "proved not to have run, so it is declined");
+}
