Decisions of a hierarchy that changes shape: merging, loops, homes, shield, CDN-Loop

Need: at other installations trunk caches stand in tiers, fill from one another and are hung elsewhere while traffic runs; a front knows one flat list of parents. Shape: changes numbered by their member merge to the same result in any order; one that would close a ring is set aside, named whole, and taken once what it waited for is heard (Pearce-Kelly order within a tier, Tarjan only where a ring was found). Homes: what moves in closed form, hand-over object by object at the pace of a cold member. Shield: one account of all that may reach the archive. Via: RFC 8586. Nothing uses the package yet.

--- /dev/null
+++ b/crates/hierarchy/src/homes.rs
@@ -0,0 +1,222 @@
+//! At which member of a tier an object's fills meet, and how a change of the list is handed over.
+//!
+//! **The pick** is the design's: the object's first member in one weighted rendezvous hash over all members of
+//! the tier. **What moves** when the list changes follows in closed form, without a look at any object
+//! ([`moved`]), beside the least that any rule could move while it gives each member its share ([`least`]).
+//!
+//! **Hand-over.** Moved objects go to their new home one after the other: each has its own moment in the
+//! hand-over, drawn by hash, so that all fronts agree without a word. Before it the old home stays its home.
+//! From then on the new one is, but while the hand-over of that object lasts the old one is asked first for what
+//! it holds, so that nothing is fetched anew that is there already; copies that grow old there are fetched anew
+//! through the new home, as they would have been anyway. A member that starts cold takes objects in the same
+//! measure as it grows warm. An old home that is gone has nothing to give: its objects go at once, and what
+//! that costs the archive is the shield's matter. A second change in the middle begins a hand-over from what
+//! stood then, moved or not; each ends by its own time, and the oldest makes room when there are too many.
+
+use arrayvec::ArrayVec;
+use doorgrade::{Tenths, hash};
+
+/// Lists that may be in use at once: the newest, and three hand-overs under way. More would be a list that
+/// changes faster than anything can follow; the oldest then ends early.
+pub const MOST_LISTS: usize = 4;
+
+/// One member of a tier, as far as homes go by it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Home {
+    /// The hash of its name.
+    pub key: u64,
+    pub weight: f64,
+    /// The part of its full capacity that it starts with; 1 for one that is warm.
+    pub from: f64,
+}
+
+impl Home {
+    pub fn named(name: &str, weight: f64) -> Home {
+        Home { key: hash::text(name), weight, from: 1.0 }
+    }
+
+    fn draw(&self, object: u64) -> f64 {
+        -hash::unit(object, self.key).ln() / self.weight
+    }
+}
+
+/// The object's first in a list.
+pub fn first(list: &[Home], object: u64) -> Option<&Home> {
+    let drawn = list.iter().map(|h| (h.draw(object), h));
+    drawn.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.key.cmp(&b.1.key))).map(|(_, h)| h)
+}
+
+fn weights(old: &[Home], new: &[Home]) -> Vec<(f64, f64)> {
+    let of = |list: &[Home], key| list.iter().find(|h| h.key == key).map_or(0.0, |h| h.weight);
+    let gone = old.iter().filter(|o| new.iter().all(|n| n.key != o.key));
+    let mut pairs: Vec<_> = new.iter().map(|n| (of(old, n.key), n.weight)).collect();
+    pairs.extend(gone.map(|o| (o.weight, 0.0)));
+    pairs
+}
+
+/// The share of all objects whose home differs between two lists. An object stays with a member that wins its
+/// draw under both sets of weights, and does so with 1 over the sum of what each rival weighs against it in
+/// whichever list it weighs more.
+pub fn moved(old: &[Home], new: &[Home]) -> f64 {
+    let pairs = weights(old, new);
+    let stays = |&(a, b): &(f64, f64)| {
+        if a <= 0.0 || b <= 0.0 {
+            return 0.0;
+        }
+        1.0 / pairs.iter().map(|&(x, y)| (x / a).max(y / b)).sum::<f64>()
+    };
+    (1.0 - pairs.iter().map(stays).sum::<f64>()).max(0.0)
+}
+
+/// The least share that has to move so that each member has its part of the new list: what the members gain.
+pub fn least(old: &[Home], new: &[Home]) -> f64 {
+    let pairs = weights(old, new);
+    let (was, is) = pairs.iter().fold((0.0, 0.0), |(w, i), p| (w + p.0, i + p.1));
+    if was <= 0.0 || is <= 0.0 {
+        return if was == is { 0.0 } else { 1.0 };
+    }
+    pairs.iter().map(|&(a, b)| (b / is - a / was).max(0.0)).sum()
+}
+
+#[derive(Clone, Debug)]
+struct List {
+    homes: Vec<Home>,
+    begun: Tenths,
+    /// How long objects take to go, and then how long each old home is still asked.
+    spread: Tenths,
+    /// Tells the moments of this hand-over from those of others; the same at all fronts.
+    salt: u64,
+}
+
+impl List {
+    /// The moment at which an object goes to its home in this list.
+    fn due(&self, object: u64, home: &Home) -> Tenths {
+        let part = ripened(hash::unit(object, self.salt), home.from);
+        self.begun + (part * self.spread as f64) as Tenths
+    }
+
+    fn over(&self, now: Tenths) -> bool {
+        now >= self.begun + 2 * self.spread
+    }
+}
+
+/// When, in parts of the time in which a member grows from part `from` of its capacity to all of it, it has
+/// taken the given share of its objects, if it takes them in proportion to its capacity.
+fn ripened(share: f64, from: f64) -> f64 {
+    let grows = 1.0 - from;
+    if grows < 1e-9 {
+        return share;
+    }
+    // from * x + grows * x^2 / 2 = share * (from + grows / 2)
+    ((from * from + 2.0 * grows * share * (from + grows / 2.0)).sqrt() - from) / grows
+}
+
+/// Where an object's fill goes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Way {
+    /// The keys of old homes to be asked for what they hold, the latest first.
+    pub holders: ArrayVec<u64, MOST_LISTS>,
+    pub home: Option<u64>,
+    /// It has been the home for less than the hand-over lasts: it will not hold the object.
+    pub fresh: bool,
+}
+
+/// What a change of the list comes to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Change {
+    pub moved: f64,
+    pub least: f64,
+    /// The hand-over has ended by this time.
+    pub until: Tenths,
+}
+
+/// The homes of one tier.
+#[derive(Clone, Debug, Default)]
+pub struct Homes {
+    /// The newest first.
+    lists: ArrayVec<List, MOST_LISTS>,
+}
+
+impl Homes {
+    /// The tier's members are these from now on. The first list is taken as it is.
+    pub fn list(&mut self, now: Tenths, mut homes: Vec<Home>, spread: Tenths) -> Option<Change> {
+        homes.retain(|h| h.weight > 0.0 && h.weight.is_finite());
+        homes.sort_by_key(|h| h.key);
+        homes.dedup_by_key(|h| h.key);
+        self.tidy(now);
+        let same = |a: &Home, b: &Home| (a.key, a.weight) == (b.key, b.weight);
+        let old = self.lists.first().map(|l| &l.homes);
+        if old.is_some_and(|o| o.len() == homes.len() && o.iter().zip(&homes).all(|(a, b)| same(a, b))) {
+            return None;
+        }
+        // Of the new list alone: a front that has just started knows no other.
+        let salt = homes.iter().fold(0u64, |salt, h| salt.rotate_left(5) ^ h.key);
+        let begins = old.is_some_and(|o| !o.is_empty());
+        let change = Change {
+            moved: old.map_or(0.0, |o| moved(o, &homes)),
+            least: old.map_or(0.0, |o| least(o, &homes)),
+            until: if begins { now + 2 * spread } else { now },
+        };
+        if !begins {
+            // Nobody held anything, or nobody knows of it.
+            self.lists.clear();
+        }
+        if self.lists.is_full() {
+            self.lists.pop();
+        }
+        self.lists.insert(0, List { homes, begun: now, spread, salt });
+        Some(change)
+    }
+
+    /// Drops what came before a hand-over that is over.
+    pub fn tidy(&mut self, now: Tenths) {
+        if let Some(over) = self.lists.iter().position(|l| l.over(now)) {
+            self.lists.truncate(over + 1);
+        }
+    }
+
+    pub fn handing_over(&self, now: Tenths) -> bool {
+        self.lists.len() > 1 && !self.lists[0].over(now)
+    }
+
+    /// Homes of the newest list.
+    pub fn newest(&self) -> &[Home] {
+        self.lists.first().map_or(&[], |l| &l.homes)
+    }
+
+    /// Where an object's fill goes; `alive` says of a member's key whether it may still be asked.
+    pub fn way(&self, now: Tenths, object: u64, alive: impl Fn(u64) -> bool) -> Way {
+        let mut way = Way::default();
+        // Until when an older list's home can have been the object's.
+        let mut left = now;
+        for (n, list) in self.lists.iter().enumerate() {
+            let Some(home) = first(&list.homes, object) else { continue };
+            let last = n + 1 == self.lists.len() || list.over(now);
+            let due = if last { 0 } else { list.due(object, home) };
+            match way.home {
+                None if n > 0 && !alive(home.key) => continue,
+                // Not its turn yet, while an old home still serves.
+                None if due > now && self.old_serves(n, object, &alive) => continue,
+                None => way.home = Some(home.key),
+                // The next change came before its turn: it never went there.
+                Some(_) if due >= left => continue,
+                Some(now_home) if now_home != home.key => {
+                    way.fresh = true;
+                    if alive(home.key) && !way.holders.contains(&home.key) {
+                        way.holders.push(home.key);
+                    }
+                }
+                Some(_) => {}
+            }
+            if last || now >= due + list.spread {
+                break;
+            }
+            left = due.min(now);
+        }
+        way
+    }
+
+    fn old_serves(&self, n: usize, object: u64, alive: impl Fn(u64) -> bool) -> bool {
+        self.lists[n + 1..].iter().filter_map(|l| first(&l.homes, object)).any(|h| alive(h.key))
+    }
+}
--- /dev/null
+++ b/crates/hierarchy/src/lib.rs
@@ -0,0 +1,21 @@
+//! A hierarchy of caches that changes shape while it is in use. Decides, without I/O, clock, threads or chance:
+//!
+//! - [`shape`]: which members there are, in which tier, and from whom each fills, out of numbered changes that
+//!   come in any order, twice, late or not at all. The same changes give the same shape. A change that would
+//!   close a loop of members filling from each other is set aside and named with its whole ring.
+//! - [`homes`]: at which member of a tier an object's fills meet, and how a change of the list is handed over:
+//!   which share moves, who is asked for what it holds, and when each object goes.
+//! - [`shield`]: what a front may send the archive, by whatever way, and what becomes of the rest.
+//! - [`via`]: whether a fill has come round in a ring that no single shape shows (RFC 8586).
+//!
+//! It knows only what it was told: not what a member holds, nor what other fronts believe or send. Times are
+//! whole tenths of a millisecond and are handed in.
+#![forbid(unsafe_code)]
+
+pub mod homes;
+mod order;
+pub mod shape;
+pub mod shield;
+pub mod via;
+
+pub use shape::{Aside, Change, Heard, Shape, Standing, Told, Why};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod control;
 pub mod face;
 mod fading;
-mod hash;
+pub mod hash;
 mod oldest;
 
 pub use control::Front;
