--- a/crates/hierarchy/tests/shape.rs
+++ b/crates/hierarchy/tests/shape.rs
@@ -48,7 +48,7 @@
         words.entry(&c.member).or_default().push(((c.incarnation, c.number), *tier, *standing, sources));
     }
     for list in words.values_mut() {
-        list.sort_by(|a, b| b.0.cmp(&a.0));
+        list.sort_by_key(|w| std::cmp::Reverse(w.0));
         list.dedup();
         list.truncate(DEPTH);
     }
