A command line on clap, the operators' settings in HCL, the log on tracing

Need: a hierarchy has settings and a shape that the platform's configuration has no place for; the program had no commands, and a log of its own that no other program can read. Change: crates/operator reads deploy/doorgrade.hcl and shape files (hcl-edit): every problem at once, with file, line, column, key and expectation, unknown keys with the nearest known one. crates/cli is the program: serves without a command; check, shape show|check|diff (tree, table, JSON, a loop drawn as a ring), completions, manual; exit codes 0 to 4. crates/log: tracing, for people or JSON lines, level changed on SIGHUP. The front is a library; its circle config -> feed -> conn -> config is undone (follow.rs). All of it is off on the platform.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
+use doorgrade_log::LevelFilter;
+use doorgrade_operator::Files;
+use doorgrade_operator::settings::Level;
 use doorgrade_settings::Told;
-use log::LevelFilter;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -37,11 +39,13 @@
 }
 
 /// What a running front takes from a file that replaces its own; all else waits for a start.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Renewal {
     pub feed: SocketAddr,
     pub limits: Limits,
     pub log: LevelFilter,
+    /// The operators' files.
+    pub files: Files,
 }
 
 #[derive(Clone)]
@@ -56,6 +60,8 @@
     /// Events up to the start, and the number of the last.
     pub known: (u64, Vec<Event>),
     pub log: LevelFilter,
+    /// The operators' files; all off until [`Config::with`] says otherwise.
+    pub files: Files,
 }
 
 /// Fewer descriptors, or less memory, than this leave no room for both sides of one access.
@@ -126,19 +132,38 @@
             told,
             names,
             known,
-            log: file.log.map_or(Ok(LevelFilter::Info), |level| at("log", level.parse()))?,
+            log: file.log.map_or(Ok(LevelFilter::INFO), |level| at("log", level.parse()))?,
+            files: Files::default(),
         })
     }
 
+    /// With what the operators' own files say, which goes before what the platform's does.
+    pub fn with(mut self, files: Files) -> Config {
+        self.log = match files.settings.log.level {
+            None => self.log,
+            Some(Level::Off) => LevelFilter::OFF,
+            Some(Level::Error) => LevelFilter::ERROR,
+            Some(Level::Warn) => LevelFilter::WARN,
+            Some(Level::Info) => LevelFilter::INFO,
+            Some(Level::Debug) => LevelFilter::DEBUG,
+            Some(Level::Trace) => LevelFilter::TRACE,
+        };
+        self.files = files;
+        self
+    }
+
     /// What a running front takes of a configuration that replaces this one, and the keys that differ but
     /// can't be taken before the next start. `known` is not needed: the feed repeats what was missed.
     pub fn renewal(&self, new: Config) -> (Renewal, Vec<&'static str>) {
+        let (own, theirs) = (&new.files.settings, &self.files.settings);
         let waits = [
             ("name", new.name != self.name),
             ("listen", new.listen != self.listen),
             ("settings", new.told != self.told),
+            ("log.format", own.log.format != theirs.log.format),
+            ("hierarchy", own.hierarchy != theirs.hierarchy),
         ];
         let waits = waits.into_iter().filter(|w| w.1).map(|w| w.0).collect();
-        (Renewal { feed: new.feed, limits: new.limits, log: new.log }, waits)
+        (Renewal { feed: new.feed, limits: new.limits, log: new.log, files: new.files }, waits)
     }
 }
--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -1,11 +1,10 @@
-//! The control feed: its events as JSON and as frames, and the state of the connection to it. No I/O.
+//! The control feed's events, as JSON and as frames. No I/O.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use doorgrade::{Member, Standing, Tenths};
 use serde::Deserialize;
 
-use crate::conn::ConnId;
 use crate::ring::Ring;
 
 /// Zones and kinds by their numbers.
@@ -232,56 +231,3 @@
     let started = Some(fields.number(8)?.min(MOST_TIME) * 10).filter(|&t| t > 0);
     Ok(Listed { member: Member { id, zone, kind, cell, standing, weight, started }, at })
 }
-
-/// The connection to the feed.
-pub struct Feed {
-    pub conn: Option<ConnId>,
-    pub up: bool,
-    /// The last event that was taken.
-    pub number: u64,
-    pub heard: Tenths,
-    frames: Frames,
-    delay: Tenths,
-}
-
-impl Feed {
-    /// An empty frame is due each second; after as long again and a half, the connection is taken for lost.
-    pub const SILENCE: Tenths = 25_000;
-    /// A connection that ends at once is not made again at once: from 0.1 s, doubling up to 1 s.
-    const DELAYS: [Tenths; 2] = [1_000, 10_000];
-
-    pub fn new(number: u64) -> Self {
-        Feed { conn: None, up: false, number, heard: 0, frames: Frames::default(), delay: Self::DELAYS[0] }
-    }
-
-    /// The connection is up: what to write on it.
-    pub fn begin(&mut self, now: Tenths) -> [u8; 8] {
-        (self.up, self.heard, self.frames) = (true, now, Frames::default());
-        self.number.to_be_bytes()
-    }
-
-    /// The next event that is new. One that goes on counts as a connection that works.
-    pub fn take(&mut self, ring: &mut Ring, names: &Names, now: Tenths) -> Result<Option<Event>, Malformed> {
-        while let Some((number, event)) = self.frames.next(ring, names)? {
-            (self.heard, self.delay) = (now, Self::DELAYS[0]);
-            if let Some(event) = event.filter(|_| number > self.number) {
-                self.number = number;
-                return Ok(Some(event));
-            }
-        }
-        Ok(None)
-    }
-
-    /// The feed is somewhere else now: its first connection there is made at once.
-    pub fn moved(&mut self) {
-        (self.conn, self.up, self.delay) = (None, false, Self::DELAYS[0]);
-    }
-
-    /// The connection is lost: how long to wait before the next.
-    pub fn lost(&mut self) -> Tenths {
-        (self.conn, self.up) = (None, false);
-        let delay = self.delay;
-        self.delay = (2 * delay).min(Self::DELAYS[1]);
-        delay
-    }
-}
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -14,7 +14,8 @@
 use crate::clock::Timers;
 use crate::config::{Config, Renewal};
 use crate::conn::ConnId;
-use crate::feed::{self, Feed, Names};
+use crate::feed::{self, Names};
+use crate::follow::Feed;
 use crate::intake::Request;
 use crate::phase::Phase;
 use crate::push::{self, Got, Line, Place, Pools, State};
@@ -193,7 +194,11 @@
                 ahead: 0,
             },
         };
-        log::info!("bounds: {:?}; {} events known up to number {number}", reducer.work.bounds, events.len());
+        tracing::info!(
+            "bounds: {:?}; {} events known up to number {number}",
+            reducer.work.bounds,
+            events.len()
+        );
         for event in events {
             reducer.hear(event);
         }
@@ -255,7 +260,7 @@
                 for at in phase.leave(*now, *longest).into_iter().flatten() {
                     timers.set(at, Timer::Phase);
                 }
-                log::info!("told to stop");
+                tracing::info!("told to stop");
             }
         }
         self.settle();
@@ -343,13 +348,16 @@
                 Ok(Some(event)) => self.hear(event),
                 Ok(None) => break,
                 Err(feed::Malformed(what)) => {
-                    log::warn!("feed: {what} can't be used, connecting anew after {}", self.work.feed.number);
+                    tracing::warn!(
+                        "feed: {what} can't be used, connecting anew after {}",
+                        self.work.feed.number
+                    );
                     return self.work.lose_feed();
                 }
             }
         }
         if ended {
-            log::info!("feed: connection lost");
+            tracing::info!("feed: connection lost");
             self.work.lose_feed();
         } else {
             self.work.effects.push(Effect::Read(conn, ring));
@@ -363,7 +371,7 @@
         let now = work.now;
         work.timers.set(now + SWEEP, Timer::Sweep);
         if work.feed.up && work.feed.heard + Feed::SILENCE < now {
-            log::info!("feed: silent");
+            tracing::info!("feed: silent");
             work.lose_feed();
         }
         let idle = work.idle * 3 / 4;
@@ -386,7 +394,7 @@
         self.work.unpark();
         if now >= self.work.told_at + TOLD {
             self.work.told_at = now;
-            log::info!("at the most: {:?}", self.work.most);
+            tracing::info!("at the most: {:?}", self.work.most);
         }
     }
 }
@@ -435,7 +443,7 @@
     /// What was told but not read yet comes again: the new connection starts from the last event taken.
     fn reload(&mut self, to: &Renewal) {
         self.bounds = Bounds::new(&to.limits);
-        log::info!("configuration taken anew; bounds: {:?}; feed at {}", self.bounds, to.feed);
+        tracing::info!("configuration taken anew; bounds: {:?}; feed at {}", self.bounds, to.feed);
         if std::mem::replace(&mut self.feed_at, to.feed) != to.feed {
             // One that is still being made is closed once it is up.
             if let Some(conn) = self.feed.conn.filter(|_| self.feed.up) {
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -238,7 +238,7 @@
     pub(super) fn complain(&mut self, what: &str) {
         self.complaints += 1;
         if self.now >= self.complained_at + COMPLAINTS {
-            log::warn!("{what} ({} such since the last line)", self.complaints);
+            tracing::warn!("{what} ({} such since the last line)", self.complaints);
             (self.complaints, self.complained_at) = (0, self.now);
         }
     }
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -141,7 +141,8 @@
         self.pools.remove(cache, conn);
         self.close(conn);
         if let Some((access, push)) = carries {
-            log::info!("an answer of s-{cache:08x} is broken: {why}");
+            let member = format_args!("s-{cache:08x}");
+            tracing::info!(member = %member, "an answer of {member} is broken: {why}");
             self.end_push(access, push, Got::bare(Outcome::Broken));
         }
     }
@@ -257,7 +258,7 @@
             body: &r.body,
         };
         let request = http::request(&ask);
-        log::debug!("push {:?}", String::from_utf8_lossy(&request));
+        tracing::debug!("push {:?}", String::from_utf8_lossy(&request));
         let cache = push::number(p.cache).unwrap_or(u32::MAX);
         let names = [Some(cache), ask.source.and_then(push::number)];
         taken.sent.push(Sent {
@@ -297,6 +298,6 @@
     fn follow_list(&mut self) {}
 
     fn log(&mut self, text: fmt::Arguments<'_>) {
-        log::info!("{text}");
+        tracing::info!("{text}");
     }
 }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/serve.rs
@@ -1,37 +1,58 @@
-//! `doorgrade`: the real front. Reads its configuration, then hands what happens to the reducer and does what
-//! it asks for.
-#![forbid(unsafe_code)]
+//! Serving: reads the configuration, then hands what happens to the reducer and does what it asks for.
 
-use std::process::ExitCode;
+use std::path::PathBuf;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::Duration;
 
-use doorgrade_front::clock::Clock;
-use doorgrade_front::config::Config;
-use doorgrade_front::conn::{self, ConnId, Event, Port};
-use doorgrade_front::reducer::{Effect, Input, Made, Reducer};
-use doorgrade_front::{accept, logger};
+use doorgrade_log::{Format, LevelFilter};
+use doorgrade_operator::{files, settings};
 use rustc_hash::FxHashMap;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 
-fn main() -> ExitCode {
-    logger::start(log::LevelFilter::Info);
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            log::error!("{why}");
-            ExitCode::FAILURE
-        }
+use crate::accept;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::conn::{self, ConnId, Event, Port};
+use crate::reducer::{Effect, Input, Made, Reducer};
+
+/// Where a front finds what it is told.
+#[derive(Clone, Debug, Default)]
+pub struct Place {
+    /// The platform's configuration.
+    pub config: PathBuf,
+    /// In place of the file's.
+    pub name: Option<String>,
+    pub listen: Option<String>,
+    /// The operators' settings; the usual file if it is there.
+    pub settings: Option<PathBuf>,
+}
+
+impl Place {
+    /// Reads and checks all of it.
+    pub fn read(&self) -> Result<Config, String> {
+        let path = &self.config;
+        let text = std::fs::read_to_string(path);
+        let text = text.map_err(|e| format!("PROXY_CONFIG: {}: {e}", path.display()))?;
+        let config = Config::read(&text, self.name.clone(), self.listen.clone())?;
+        Ok(config.with(files::load(self.settings.as_deref()).map_err(|e| e.to_string())?))
     }
 }
 
-fn start() -> Result<(), String> {
-    let config = read()?;
-    logger::start(config.log);
+/// Serves until it is told to stop.
+pub fn serve(place: Place) -> Result<(), String> {
+    let config = place.read().inspect_err(|_| doorgrade_log::start(LevelFilter::INFO, Format::Human))?;
+    doorgrade_log::start(
+        config.log,
+        match config.files.settings.log.format {
+            settings::Format::Human => Format::Human,
+            settings::Format::Json => Format::Json,
+        },
+    );
+    let _named = tracing::info_span!("serve", front = config.name).entered();
     // One core is told; a coroutine reads and writes through rings on the heap, so small stacks do.
     may::config().set_workers(1).set_stack_size(0x1000);
     let (events, happened) = channel();
-    heed_signals(config.clone(), events.clone()).map_err(|e| format!("signals: {e}"))?;
+    heed_signals(place, config.clone(), events.clone()).map_err(|e| format!("signals: {e}"))?;
     let (listen, name) = (config.listen, config.name.clone());
     let within = Duration::from_micros(config.told.connect_within * 100);
     let mut clock = Clock::default();
@@ -39,32 +60,30 @@
         Driver { reducer: Reducer::new(config, clock.now()), ports: FxHashMap::default(), within, events };
     let local =
         accept::listen(listen, driver.events.clone()).map_err(|e| format!("key 'listen': {listen}: {e}"))?;
-    log::info!("{name} listens on {local}");
+    tracing::info!("{name} listens on {local}");
     driver.reducer.input(clock.now(), Input::Listening);
     driver.run(&mut clock, &happened);
-    log::info!("ends; at the most: {:?}", driver.reducer.most());
+    tracing::info!("ends; at the most: {:?}", driver.reducer.most());
     Ok(())
 }
 
-fn read() -> Result<Config, String> {
-    let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
-    Config::read(&text, std::env::var("PROXY_NAME").ok(), std::env::var("PROXY_LISTEN").ok())
-}
-
-fn reload(first: &Config) -> Option<Event> {
-    let stays = |why| log::error!("{why}; the configuration in use stays");
-    let (renewal, waits) = first.renewal(read().map_err(stays).ok()?);
-    waits.iter().for_each(|key| log::warn!("configuration: key '{key}': a new start will take the change"));
+fn reload(place: &Place, first: &Config) -> Option<Event> {
+    let stays = |why| tracing::error!("{why}; the configuration in use stays");
+    let (renewal, waits) = first.renewal(place.read().map_err(stays).ok()?);
+    waits
+        .iter()
+        .for_each(|key| tracing::warn!("configuration: key '{key}': a new start will take the change"));
     Some(Event::Reload(renewal))
 }
 
 /// A thread of its own hears signals and reads files, so that neither holds up the reducer.
-fn heed_signals(first: Config, events: Sender<Event>) -> std::io::Result<()> {
+fn heed_signals(place: Place, first: Config, events: Sender<Event>) -> std::io::Result<()> {
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGHUP])?;
+    let named = tracing::Span::current();
     std::thread::spawn(move || {
+        let _named = named.entered();
         for signal in signals.forever() {
-            let event = if signal == SIGTERM { Some(Event::Stop) } else { reload(&first) };
+            let event = if signal == SIGTERM { Some(Event::Stop) } else { reload(&place, &first) };
             event.into_iter().for_each(|event| drop(events.send(event)));
         }
     });
@@ -109,7 +128,7 @@
                 Input::Connected(conn, Made::Up)
             }
             Event::Connected(conn, Err(error)) => {
-                log::debug!("connection {conn} failed: {error}");
+                tracing::debug!("connection {conn} failed: {error}");
                 let own = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM, libc::EADDRNOTAVAIL];
                 let own = error.raw_os_error().is_some_and(|e| own.contains(&e));
                 Input::Connected(conn, if own { Made::NoMeans } else { Made::Refused })
@@ -119,7 +138,7 @@
             Event::Closed(conn) => Input::Closed(conn),
             Event::Stop => Input::Stop,
             Event::Reload(renewal) => {
-                logger::start(renewal.log);
+                doorgrade_log::set_level(renewal.log);
                 Input::Reload(renewal)
             }
         }
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,15 @@
+//! The operators' own files, in HCL: read, checked and given defaults here and nowhere else. Each problem names
+//! file, line, column, key and what was expected; a file is read to its end, so that all are told at once. An
+//! unknown key is a problem, with the nearest known one named.
+//!
+//! HCL comes from `hcl-edit`, which keeps the place of each value; `strsim` finds the nearest key.
+#![forbid(unsafe_code)]
+
+mod doc;
+pub mod files;
+pub mod settings;
+pub mod shape;
+
+pub use doc::{Problem, Problems};
+pub use files::Files;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/operator/tests/files.rs
@@ -0,0 +1,104 @@
+//! The operators' files: what is read, and that each fault is named with its place.
+
+use doorgrade_hierarchy::{Change, Shape, Standing, Told};
+use doorgrade_operator::settings::{Format, Level};
+use doorgrade_operator::{Settings, shape};
+use proptest::prelude::*;
+
+fn problems(text: &str) -> Vec<String> {
+    Settings::read("d.hcl", text).unwrap_err().0.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn an_empty_file_changes_nothing() {
+    assert_eq!(Settings::read("d.hcl", "").unwrap(), Settings::default());
+    assert_eq!(Settings::read("d.hcl", "hierarchy {\n  shape = \"s.hcl\"\n}\n").unwrap().hierarchy, None);
+}
+
+#[test]
+fn what_is_set_is_read() {
+    let text = "log {\n level = \"debug\"\n format = \"json\"\n}\nhierarchy {\n enabled = true\n shape = \"s.hcl\"\n hand_over_ms = 500\n}";
+    let settings = Settings::read("d.hcl", text).unwrap();
+    assert_eq!((settings.log.level, settings.log.format), (Some(Level::Debug), Format::Json));
+    let hierarchy = settings.hierarchy.unwrap();
+    assert_eq!((&*hierarchy.shape, hierarchy.tier, hierarchy.hand_over_ms), ("s.hcl", 1, 500));
+}
+
+#[test]
+fn each_fault_is_named_with_file_line_key_and_expectation() {
+    assert_eq!(
+        problems("log {\n  levle = \"info\"\n}\n"),
+        ["d.hcl:2:3: key 'log.levle': unknown key: expected 'level'?"]
+    );
+    assert_eq!(
+        problems("hirarchy {}\n"),
+        ["d.hcl:1:1: key 'hirarchy': unknown block: expected 'hierarchy'?"]
+    );
+    assert_eq!(problems("log = 3\n"), ["d.hcl:1:1: key 'log': is a block: expected no '='"]);
+    let two = problems("log {\n  level = \"loud\"\n  format = 3\n}\n");
+    assert_eq!(
+        two[0],
+        "d.hcl:2:11: key 'log.level': expected one of \"off\", \"error\", \"warn\", \"info\", \"debug\", \"trace\", got \"loud\""
+    );
+    assert_eq!(two[1], "d.hcl:3:12: key 'log.format': expected one of \"human\", \"json\", got 3");
+    assert_eq!(
+        problems("hierarchy {\n  enabled = true\n}\n"),
+        ["d.hcl:1:1: key 'hierarchy.shape': is missing"]
+    );
+    let range = "hierarchy {\n  tier = 16\n}\n";
+    assert_eq!(
+        problems(range),
+        ["d.hcl:2:10: key 'hierarchy.tier': expected a whole number from 1 to 15, got 16"]
+    );
+    assert_eq!(problems("log {}\nlog {}\n"), ["d.hcl:2:1: key 'log': stands here a second time"]);
+    assert_eq!(problems("log \"x\" {}\n"), ["d.hcl:1:1: key 'log.x': expected no label"]);
+    assert!(
+        problems("log {\n  level = \n")[0].starts_with("d.hcl:2:"),
+        "{:?}",
+        problems("log {\n  level = \n")
+    );
+}
+
+#[test]
+fn a_shape_file_names_its_faults() {
+    let fault = |text: &str| shape::read("s.hcl", text).unwrap_err().to_string();
+    assert_eq!(
+        fault("member \"a\" {\n  incarnation = 1\n  tier = 1\n}\n"),
+        "s.hcl:1:1: key 'member.a.number': is missing"
+    );
+    let own = "member \"a\" {\n  incarnation = 1\n  number = 1\n  tier = 1\n  fills_from = [\"a\"]\n}\n";
+    assert!(fault(own).starts_with(
+        "s.hcl:1:1: key 'member.a': it fills from itself\ns.hcl:5:16: key 'member.a.fills_from'"
+    ));
+    assert!(
+        fault("member \"a b\" {\n  incarnation = 1\n  number = 1\n  tier = 1\n}\n")
+            .contains("a name that is not")
+    );
+    assert_eq!(fault("gone \"a\" {\n}\n"), "s.hcl:1:1: key 'gone.a.incarnation': is missing");
+    assert!(fault("gone {\n}\n").contains("expected 1 label"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_shape_is_written_as_it_is_read(numbers in prop::collection::vec((0..9u8, 1..4u64, 1..9u64, 0..9u8), 0..20)) {
+        let mut known = Shape::new();
+        for (member, incarnation, number, source) in numbers {
+            let told = match source {
+                8 => Told::Gone,
+                s => Told::Stands { tier: 1, standing: Standing::Draining, fills_from: vec![format!("m-{s}").into()] },
+            };
+            known.hear(&Change { member: format!("m-{member}").into(), incarnation, number, told });
+        }
+        let changes = known.changes();
+        let mut read = shape::read("s.hcl", &shape::write(&changes)).unwrap();
+        read.sort();
+        prop_assert_eq!(read, changes);
+    }
+
+    #[test]
+    fn no_text_makes_it_panic(text in "[a-z{}=\"\\[\\], \n0-9]{0,120}") {
+        let _ = (Settings::read("d.hcl", &text), shape::read("s.hcl", &text));
+    }
+}
