A front names sources by the shape: homes handed over, one archive account, rings cut

Need: a change of the list of parents rehashed at once, and what a miss costs the archive was nobody's account. Change: the guide (crates/hierarchy/src/guide.rs) puts shape, homes and shield together; before each push the module asks it, through Outlet::ways, which sources it may name now and in which order. Old homes are asked for what they hold, together with the look at the cache; what exceeds the account waits within its soft limit or is declined at once. Pushes carry CDN-Loop; a fill cut in a ring (508 with Not-Begun) never ran and goes another way. Shapes come with SIGHUP.

--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -25,6 +25,8 @@
     pub renew: bool,
     pub have: Option<&'a str>,
     pub body: &'a [u8],
+    /// What the fill has come through (RFC 8586).
+    pub via: Option<&'a str>,
 }
 
 pub fn request(ask: &Ask<'_>) -> Vec<u8> {
@@ -57,6 +59,9 @@
     if let Some(tag) = ask.have {
         put(format_args!("Have: {tag}\r\n"));
     }
+    if let Some(via) = ask.via {
+        put(format_args!("CDN-Loop: {via}\r\n"));
+    }
     if !ask.body.is_empty() {
         put(format_args!("Content-Length: {}\r\n", ask.body.len()));
     }
@@ -76,6 +81,8 @@
     pub tag: Option<String>,
     pub made_at: Option<u64>,
     pub note: Note,
+    /// The members of a ring that a fill has come round in.
+    pub ring: Option<String>,
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -122,6 +129,7 @@
         tag: None,
         made_at: None,
         note: Note::Untold,
+        ring: None,
     };
     let mut length = None;
     for header in parsed.headers.iter() {
@@ -148,6 +156,9 @@
             head.made_at = value.parse().ok();
         } else if is("Detail") {
             head.note = note(value);
+        } else if is("Ring") {
+            let text = |v: &&str| v.len() <= 1024 && v.bytes().all(|b| b == b' ' || b.is_ascii_graphic());
+            head.ring = Some(value).filter(text).map(str::to_owned);
         }
     }
     head.length = match (status, length) {
--- a/crates/front/src/push.rs
+++ b/crates/front/src/push.rs
@@ -17,12 +17,13 @@
     pub status: u16,
     pub tag: Option<String>,
     pub body: Vec<u8>,
+    pub ring: Option<String>,
 }
 
 impl Got {
     /// An end that no answer tells of.
     pub fn bare(outcome: Outcome) -> Self {
-        Got { outcome, note: Note::Untold, status: 0, tag: None, body: Vec::new() }
+        Got { outcome, note: Note::Untold, status: 0, tag: None, body: Vec::new(), ring: None }
     }
 }
 
@@ -33,7 +34,8 @@
         (304, _) if had_tag => Outcome::Handled,
         (404, _) => Outcome::Miss,
         (503, true) => Outcome::Full,
-        (504, true) => Outcome::NeverSent,
+        // The fill had come round in a ring, and was cut before anything was fetched.
+        (504 | 508, true) => Outcome::NeverSent,
         (500..=599, _) => Outcome::Error,
         _ => Outcome::Broken,
     }
@@ -169,6 +171,7 @@
             note: head.note,
             status: head.status,
             tag: head.tag,
+            ring: head.ring.filter(|_| head.status == 508),
             body: std::mem::take(&mut self.body),
         };
         Progress::Whole(got, head.closes || unsent || more)
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod pushes;
+mod tiers;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use crate::ring::Ring;
 use clients::Client;
 use pushes::Sent;
+use tiers::Tiers;
 
 /// What came of a connection that was asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -99,6 +101,8 @@
     /// The final answer was given, or is not owed any more.
     done: bool,
     sent: Vec<Sent>,
+    /// Its soft limit, as the module sees it.
+    soft_at: Tenths,
 }
 
 /// The most that was in use at once, for the log.
@@ -155,11 +159,14 @@
     complained_at: Tenths,
     /// By how much `now` is ahead of the system's clock, which was set back.
     ahead: Tenths,
+    /// Parents in tiers, where operators have said so.
+    tiers: Option<Tiers>,
 }
 
 impl Reducer {
     pub fn new(config: Config, now: Tenths) -> Self {
-        let Config { told, limits, known: (number, events), names, feed, seed, .. } = config;
+        let tiers = Tiers::new(&config, now);
+        let Config { told, limits, known: (number, events), names, feed, seed, files, .. } = config;
         let effects = told.settings.offerings.iter().map(|o| o.effect != doorgrade::Effect::Unrepeatable);
         let mut reducer = Reducer {
             front: Front::new(&told.settings, seed),
@@ -192,8 +199,10 @@
                 complaints: 0,
                 complained_at: 0,
                 ahead: 0,
+                tiers,
             },
         };
+        reducer.work.take_shape(&files.shape);
         tracing::info!(
             "bounds: {:?}; {} events known up to number {number}",
             reducer.work.bounds,
@@ -299,7 +308,9 @@
                 self.work.bodies = self.work.bodies.saturating_sub(got.body.len());
             }
             let settled = self.work.accesses.get(&id).is_none_or(|t| t.done);
-            self.front.ended(now, id, &Ended { push, outcome, settled, lag, note }, &mut self.work);
+            let ended = Ended { push, outcome, settled, lag, note };
+            self.work.tell_tiers(id, &ended, got.ring.as_deref());
+            self.front.ended(now, id, &ended, &mut self.work);
             self.work.tidy(id);
         }
     }
@@ -326,6 +337,7 @@
                 self.work.list(whole, &members);
                 let moved = |m: Member| Member { started: m.started.map(|t| t + self.work.ahead), ..m };
                 let members: Vec<Member> = members.into_iter().map(|l| moved(l.member)).collect();
+                self.work.list_tiers(&members, whole);
                 self.front.listed(now, &members, whole, &mut self.work);
                 let stays = |m: &&Member| m.standing == Standing::Listed;
                 let stay: FxHashSet<_> = members.iter().filter(stays).map(|m| push::number(&m.id)).collect();
@@ -443,6 +455,7 @@
     /// What was told but not read yet comes again: the new connection starts from the last event taken.
     fn reload(&mut self, to: &Renewal) {
         self.bounds = Bounds::new(&to.limits);
+        self.take_shape(&to.files.shape);
         tracing::info!("configuration taken anew; bounds: {:?}; feed at {}", self.bounds, to.feed);
         if std::mem::replace(&mut self.feed_at, to.feed) != to.feed {
             // One that is still being made is closed once it is up.
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -152,7 +152,8 @@
         };
         let repeatable = work.offerings[offering].1;
         work.by_id.insert(request.call, access);
-        let taken = Taken { client: conn, id, request, repeatable, done: false, sent: Vec::new() };
+        let taken =
+            Taken { client: conn, id, request, repeatable, done: false, sent: Vec::new(), soft_at: until };
         work.accesses.insert(access, taken);
         work.most.accesses = work.most.accesses.max(work.accesses.len());
         self.front.access(work.now, &asked, work);
@@ -299,6 +300,9 @@
             if self.by_id.get(&taken.request.call) == Some(&access) {
                 self.by_id.remove(&taken.request.call);
             }
+            if let Some(tiers) = &mut self.tiers {
+                tiers.guide.done(self.now, access);
+            }
         }
     }
 }
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use doorgrade::{AccessId, Outcome, Outlet, Push, Tenths};
+use doorgrade::{Access, AccessId, Outcome, Outlet, Push, Tenths, Ways};
 
 use super::{Effect, Made, Taken, Timer, Work};
 use crate::answer::Reply;
@@ -24,6 +24,8 @@
     pub(super) unlucky: bool,
     /// Word has come since that it must heed.
     pub(super) outdated: bool,
+    /// Its cache was asked to renew its copy behind.
+    pub(super) renews: bool,
 }
 
 impl Work {
@@ -237,6 +239,10 @@
 }
 
 impl Outlet for Work {
+    fn ways(&mut self, access: &Access, until: Tenths) -> Ways {
+        self.ask_tiers(access, until)
+    }
+
     fn push(&mut self, p: &Push<'_>) {
         let Some(taken) = self.accesses.get_mut(&p.access) else { return };
         let number = taken.sent.len();
@@ -256,6 +262,7 @@
             renew: p.renew,
             have: r.tag.as_deref(),
             body: &r.body,
+            via: self.tiers.as_ref().and_then(|t| t.via.as_deref()),
         };
         let request = http::request(&ask);
         tracing::debug!("push {:?}", String::from_utf8_lossy(&request));
@@ -269,7 +276,12 @@
             live: true,
             unlucky: false,
             outdated: false,
+            renews: p.renew,
         });
+        if let Some(tiers) = &mut self.tiers {
+            let [cache, source] = [p.cache, p.source].map(doorgrade::hash::text);
+            tiers.guide.pushed(self.now, p.access, number, cache, source, p.kept_only);
+        }
         self.timers.set(self.now + p.wait, Timer::PushOver(p.access, number));
         if self.carry(cache, p.access, number).is_none() {
             self.end_push(p.access, number, Got::bare(Outcome::NeverSent));
--- /dev/null
+++ b/crates/front/src/reducer/tiers.rs
@@ -0,0 +1,115 @@
+//! The reducer's dealings with a hierarchy of parents: what it is told, and what it says of an access.
+
+use doorgrade::{Access, AccessId, Ended, Member, Tenths, Ways};
+use doorgrade_hierarchy::{Change, Guide, Heard, Rules, guide, via};
+
+use super::Work;
+use crate::config::Config;
+
+/// A ring is met by every fill that goes that way; the log has one line a second of it.
+const RINGS_TOLD: Tenths = 10_000;
+
+pub(super) struct Tiers {
+    pub(super) guide: Guide,
+    /// What each push says that it has come through, if it is to say so.
+    pub(super) via: Option<String>,
+    name: String,
+    loop_header: bool,
+    /// When a ring was in the log last.
+    ring_told: Tenths,
+    /// Parents and the archive are members of these kinds.
+    kinds: [Option<usize>; 2],
+}
+
+impl Tiers {
+    /// None where the operators' settings have it off.
+    pub(super) fn new(config: &Config, now: Tenths) -> Option<Tiers> {
+        let own = config.files.settings.hierarchy.as_ref()?;
+        let told = &config.told.settings;
+        let rules = Rules {
+            tier: own.tier,
+            spread: own.hand_over_ms * 10,
+            cold_from: told.parent_cold.from,
+            cold_lasts: told.parent_cold.lasts,
+            crew: told.crew,
+            shield: own.shield,
+        };
+        Some(Tiers {
+            guide: Guide::new(rules, now),
+            via: None,
+            name: config.name.clone(),
+            loop_header: own.loop_header,
+            ring_told: 0,
+            kinds: [told.parent_kind, told.origin_kind],
+        })
+    }
+}
+
+fn tell(moved: Option<guide::Moved>) {
+    if let Some(moved) = moved.filter(|m| m.moved > 0.0) {
+        let (share, least) = (100.0 * moved.moved, 100.0 * moved.least);
+        tracing::info!("homes: {share:.1}% of the objects move ({least:.1}% is the least possible)");
+    }
+}
+
+impl Work {
+    /// Changes of shape, from a file or a stream.
+    pub(super) fn take_shape(&mut self, changes: &[Change]) {
+        let Some(tiers) = &mut self.tiers else { return };
+        let before = tiers.guide.shape().revision;
+        let (heard, moved) = tiers.guide.hear(self.now, changes);
+        for (change, heard) in changes.iter().zip(heard) {
+            let member = &change.member;
+            match heard {
+                Heard::Refused(why) => {
+                    tracing::warn!(member = %member, "shape: change of {member} refused: {why}")
+                }
+                Heard::Aside(_) | Heard::Taken | Heard::Known | Heard::Late { .. } => {}
+            }
+        }
+        // What waits at the end is what is worth a line; on the way much waits for the next line of a file.
+        for aside in tiers.guide.shape().asides() {
+            tracing::warn!(member = %aside.member, "shape: change {} of {} is not in force: {}", aside.number, aside.member, aside.why);
+        }
+        if tiers.guide.shape().revision != before {
+            let shape = tiers.guide.shape();
+            tracing::info!("shape: {} members, {} deep", shape.len(), shape.depth());
+        }
+        let depth = tiers.guide.depth();
+        tiers.via = tiers.loop_header.then(|| via::begin(&tiers.name, depth));
+        tell(moved);
+    }
+
+    pub(super) fn list_tiers(&mut self, members: &[Member], whole: bool) {
+        if let Some(tiers) = &mut self.tiers {
+            let ours = |m: &&Member| tiers.kinds.contains(&Some(m.kind));
+            let parents: Vec<Member> = members.iter().filter(ours).cloned().collect();
+            tell(tiers.guide.listed(self.now, &parents, whole));
+        }
+    }
+
+    pub(super) fn ask_tiers(&mut self, access: &Access, until: Tenths) -> Ways {
+        let Some(tiers) = &mut self.tiers else { return Ways::default() };
+        if let Some(taken) = self.accesses.get_mut(&access.id) {
+            taken.soft_at = until;
+        }
+        tiers.guide.ways(self.now, access, until)
+    }
+
+    /// A push has ended.
+    pub(super) fn tell_tiers(&mut self, access: AccessId, ended: &Ended, ring: Option<&str>) {
+        let Some(tiers) = &mut self.tiers else { return };
+        let taken = self.accesses.get(&access);
+        let late = taken.is_some_and(|t| self.now > t.soft_at);
+        let renews = taken.and_then(|t| t.sent.get(ended.push)).is_some_and(|s| s.renews);
+        tiers.guide.ended(self.now, access, ended, late, renews);
+        if let Some(ring) = ring {
+            tiers.guide.rings += 1;
+            if self.now >= tiers.ring_told + RINGS_TOLD {
+                tiers.ring_told = self.now;
+                let count = tiers.guide.rings;
+                tracing::warn!(ring, count, "a fill came round in a ring, {ring}: cut, and sent another way");
+            }
+        }
+    }
+}
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -10,10 +10,13 @@
 use doorgrade_front::fastcgi::{self, Decoder};
 use doorgrade_front::reducer::{Effect, Input, Made, Reducer};
 use doorgrade_front::ring::Ring;
+use doorgrade_operator::Files;
+use doorgrade_operator::settings::{Hierarchy, Settings};
 use fastrand::Rng;
 
 pub const CACHES: [&str; 3] = ["s-00000001", "s-00000002", "s-00000003"];
 pub const PARENT: &str = "s-00000010";
+pub const SECOND: &str = "s-00000011";
 pub const ORIGIN: &str = "s-00000020";
 pub const FEED: &str = "127.0.0.1:9092";
 /// The rules' figures, in tenths of a millisecond.
@@ -54,6 +57,21 @@
     )
 }
 
+/// The hierarchy on: the parent and, above it, the origin; and a second parent that nobody has listed yet.
+pub fn tiers() -> Files {
+    let hierarchy =
+        Hierarchy { shape: "s".into(), tier: 1, hand_over_ms: 4_000, loop_header: true, shield: true };
+    let settings = Settings { hierarchy: Some(hierarchy), ..Settings::default() };
+    let member = |name: &str, tier: u8, sources: &str| {
+        format!(
+            "member \"{name}\" {{\nincarnation = 1\nnumber = 1\ntier = {tier}\nfills_from = [{sources}]\n}}\n"
+        )
+    };
+    let above = format!("\"{ORIGIN}\"");
+    let shape = [member(ORIGIN, 2, ""), member(PARENT, 1, &above), member(SECOND, 1, &above)].concat();
+    Files { settings, shape: doorgrade_operator::shape::read("s", &shape).expect("a sound shape") }
+}
+
 pub const CLASSES: [&str; 3] = ["images", "fonts", "orders"];
 
 /// A FastCGI record.
@@ -176,14 +194,21 @@
     /// Connections of caches that are lost without a word, found out when they are written to.
     pub spoilt: BTreeSet<ConnId>,
     strays: Vec<u16>,
+    /// The head of the last push of each access.
+    pub heads: BTreeMap<u64, String>,
 }
 
 impl World {
     pub fn new(seed: u64, sockets: usize) -> World {
+        World::with(seed, sockets, Files::default())
+    }
+
+    /// With the operators' files.
+    pub fn with(seed: u64, sockets: usize, files: Files) -> World {
         let now = 17_000_000_000_000;
-        let config = Config::read(&config(sockets), None, None).expect("a sound configuration");
+        let config = Config::read(&config(sockets), None, None).expect("a sound configuration").with(files);
         let mut ports: BTreeMap<_, _> = (9101..).zip(CACHES).map(|(p, id)| (id.to_owned(), p)).collect();
-        ports.extend([(PARENT.to_owned(), 9110), (ORIGIN.to_owned(), 9120)]);
+        ports.extend([(PARENT.to_owned(), 9110), (SECOND.to_owned(), 9111), (ORIGIN.to_owned(), 9120)]);
         let mut world = World {
             reducer: Reducer::new(config, now),
             now,
@@ -207,6 +232,7 @@
             stuck: BTreeSet::new(),
             spoilt: BTreeSet::new(),
             strays: Vec::new(),
+            heads: BTreeMap::new(),
         };
         world.input(Input::Listening);
         world
@@ -413,6 +439,7 @@
         assert_eq!(head.split('/').nth(2), Some(CLASSES[t.class]));
         assert!(t.class != 2 || t.pushes.iter().all(|unrun| *unrun), "rule 2: pushed again");
         let source = field("Miss-To").map(|s| self.ports[&s]);
+        self.heads.insert(call, head.clone());
         for port in [Some(port), source].into_iter().flatten() {
             let told = self.drained.get(&port);
             assert!(told.is_none_or(|told| self.now <= told + DRAIN_GRACE), "rule 3: {port} after its drain");
@@ -491,7 +518,7 @@
         let Some(c) = self.conns.get_mut(&conn) else { return };
         let Some((call, push)) = c.busy.take() else { return };
         let t = self.taken.get_mut(&call).expect("it was asked for");
-        t.pushes[push] = status == 404 || marked && matches!(status, 503 | 504);
+        t.pushes[push] = status == 404 || marked && matches!(status, 503 | 504 | 508);
         let body = if status == 200 && t.class != 2 { object(t.key) } else { Vec::new() };
         let mark = if marked { "Not-Begun: 1\r\n" } else { "" };
         let mut bytes = format!(
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -7,6 +7,7 @@
 use doorgrade_front::config::{Limits, Renewal};
 use doorgrade_front::fastcgi;
 use doorgrade_front::reducer::Input;
+use doorgrade_operator::Files;
 use helper::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -15,11 +16,40 @@
 
 /// Clients, caches and feed do what they may, in any order; then everyone answers, and all must be in order.
 fn random_run(seed: u64) {
-    let mut w = World::new(seed, if seed.is_multiple_of(4) { 64 } else { 200 });
+    let sockets = if seed.is_multiple_of(4) { 64 } else { 200 };
+    let tiered = seed % 3 == 1;
+    let files = if tiered { tiers() } else { Files::default() };
+    let mut w = World::with(seed, sockets, files.clone());
     let mut clients: Vec<_> = (0..3).map(|_| w.client()).collect();
     let (mut number, mut id, mut more) = (1, 30, 1_000);
     for call in 0..300 {
-        match w.rng.u8(..24) {
+        match w.rng.u8(..if tiered { 26 } else { 24 }) {
+            24 if w.to_port(9092).is_some() => {
+                // A parent drains, goes, or comes, cold or not.
+                number += 1;
+                let (id, port) = [(0x10, 9110), (0x11, 9111)][w.rng.usize(..2)];
+                let (state, start) = (w.rng.u8(..3), w.rng.u64(..2) * (w.now / 10));
+                match state {
+                    0 => drop(w.drained.remove(&port)),
+                    _ => drop(w.drained.entry(port).or_insert(w.now)),
+                }
+                w.feed(&frame(number, 2, &listed(id, port, state, 1, start)));
+            }
+            25 => {
+                // A parent is hung elsewhere, or under the other, and back: loops are offered.
+                let sources = [ORIGIN, PARENT, SECOND][w.rng.usize(..3)];
+                let member = [PARENT, SECOND][w.rng.usize(..2)];
+                let change = format!(
+                    "member \"{member}\" {{\nincarnation = 1\nnumber = {}\ntier = 1\nfills_from = [\"{sources}\"]\n}}",
+                    call + 2
+                );
+                let shape = doorgrade_operator::shape::read("s", &change).unwrap_or_default();
+                let files = Files { shape, ..files.clone() };
+                let feed = FEED.parse().unwrap();
+                let limits = Limits { memory_mb: 48, sockets: sockets.max(64) };
+                let log = doorgrade_log::LevelFilter::INFO;
+                w.input(Input::Reload(Renewal { feed, limits, log, files }));
+            }
             0..=7 => {
                 let conn = clients[w.rng.usize(..clients.len())];
                 id = id % 9_000 + 31;
@@ -45,7 +75,8 @@
                         (503, false),
                         (504, true),
                         (418, false),
-                    ][w.rng.usize(..9)];
+                        (508, true),
+                    ][w.rng.usize(..10)];
                     let detail = ["h", "f", "o", "r", "b", "x", "?"][w.rng.usize(..7)];
                     if w.rng.u8(..12) == 0 {
                         w.end(conn);
@@ -119,7 +150,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 80, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default()
+        cases: 120, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default()
     })]
 
     #[test]
@@ -610,3 +641,79 @@
     }
     assert_eq!(w.answer_of(1).map(|a| a.status), Some(503), "proved not to have run, so it is declined");
 }
+
+/// A fill that has come round in a ring never ran, whatever the access may repeat: it goes another way.
+#[test]
+fn a_fill_cut_in_a_ring_goes_another_way_even_if_it_must_not_run_twice() {
+    let mut w = World::with(1, 128, tiers());
+    let client = w.client();
+    for (call, class) in [(1, 1), (2, 2)] {
+        w.ask(client, call as u16, call, class, 5, 1_500);
+        w.connecting().into_iter().for_each(|conn| w.connected(conn));
+        // Looked for, and lacked; then filled from the parent, which says that it is in a ring.
+        let mut named = Vec::new();
+        for _ in 0..8 {
+            for conn in w.working() {
+                let head = w.heads[&call].clone();
+                let source = head.lines().find_map(|l| l.strip_prefix("Miss-To: ")).map(str::to_owned);
+                assert!(head.contains("CDN-Loop: doorgrade-n1;most=3"), "{head}");
+                let named_first = named.is_empty();
+                match &source {
+                    // What must not run twice goes to the origin, which answers so the first time.
+                    None if class == 2 && named_first => w.reply(conn, 508, true, "r"),
+                    None if class == 2 => w.reply(conn, 200, false, "o"),
+                    None => w.reply(conn, 404, false, "?"),
+                    Some(s) if *s == PARENT => w.reply(conn, 508, true, "r"),
+                    Some(_) => w.reply(conn, 200, false, "o"),
+                }
+                named.extend(source.or(Some("itself".to_owned()).filter(|_| class == 2)));
+            }
+            w.connecting().into_iter().for_each(|conn| w.connected(conn));
+        }
+        assert_eq!(w.answer_of(call).map(|a| a.status), Some(200), "{named:?}");
+        assert!(class == 2 || named.first().is_some_and(|n| n == PARENT), "{named:?}");
+        assert!(named.len() > 1, "{named:?}");
+    }
+}
+
+/// The second parent comes, cold: for objects on their way to it the old home is asked for what it holds, and told
+/// of a purge, for nothing older than that.
+#[test]
+fn a_purge_told_during_a_hand_over_is_honoured_at_the_old_home() {
+    let mut w = World::with(1, 200, tiers());
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    w.feed(&frame(2, 2, &listed(0x11, 9111, 0, 1, w.now / 10)));
+    // Half of the cold time: objects have moved, the hand-over goes on.
+    w.pass(10_500 * MS);
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    let client = w.client();
+    let (mut asked, mut number) = (0, 2);
+    for call in 1..200 {
+        let key = call;
+        if call % 2 == 0 {
+            number += 1;
+            w.purge(number, Some(key), 0);
+            w.pass(400 * MS);
+        } else {
+            // Each second an empty frame is due.
+            w.feed(&frame(0, 0, &[]));
+        }
+        w.ask(client, 1, call, 1, key, 1_500);
+        while w.answer_of(call).is_none() {
+            w.connecting().into_iter().for_each(|conn| w.connected(conn));
+            if w.working().is_empty() {
+                w.pass(20 * MS);
+            }
+            for conn in w.working() {
+                let head = &w.heads[&call];
+                // Rule 5 is the world's to check; here, that old homes were asked at all.
+                let held = head.contains("Miss-To: s-00000010") && head.contains("local");
+                asked += u32::from(held && call % 2 == 0);
+                let miss = held || !head.contains("Miss-To");
+                w.reply(conn, if miss { 404 } else { 200 }, false, if miss { "l" } else { "o" });
+            }
+        }
+        w.pass(20 * MS);
+    }
+    assert!(asked > 5, "{asked} times an old home was asked for what it holds of a purged object");
+}
--- a/crates/hierarchy/src/lib.rs
+++ b/crates/hierarchy/src/lib.rs
@@ -6,16 +6,19 @@
 //! - [`homes`]: at which member of a tier an object's fills meet, and how a change of the list is handed over:
 //!   which share moves, who is asked for what it holds, and when each object goes.
 //! - [`shield`]: what a front may send the archive, by whatever way, and what becomes of the rest.
+//! - [`guide`]: all of it together, for one front: which sources an access may name now, in which order.
 //! - [`via`]: whether a fill has come round in a ring that no single shape shows (RFC 8586).
 //!
 //! It knows only what it was told: not what a member holds, nor what other fronts believe or send. Times are
 //! whole tenths of a millisecond and are handed in.
 #![forbid(unsafe_code)]
 
+pub mod guide;
 pub mod homes;
 mod order;
 pub mod shape;
 pub mod shield;
 pub mod via;
 
+pub use guide::{Guide, Rules};
 pub use shape::{Aside, Change, Heard, Shape, Standing, Told, Why};
--- a/crates/hierarchy/src/via.rs
+++ b/crates/hierarchy/src/via.rs
@@ -3,7 +3,7 @@
 //! Each member that passes a fill on appends its name. One that finds its own name there has been asked by
 //! itself: the ring is cut at its first turn, and since nothing was fetched for it, that push never ran. A fill
 //! that has come through more members than a shape is deep goes round a ring, too, even if some of them do not
-//! append their names.
+//! append their names: the front that begins it says how many there may be (`most`, a parameter of its entry).
 
 use std::fmt;
 
@@ -33,9 +33,24 @@
     }
 }
 
-/// What the header's values say: the members that a fill has come through, the first first.
-pub fn read<'a>(values: impl IntoIterator<Item = &'a str>) -> Result<Vec<&'a str>, Cut> {
-    let (mut through, mut bytes) = (Vec::new(), 0);
+/// What a front writes on a push: its name, and how many members may pass it on.
+pub fn begin(front: &str, most: usize) -> String {
+    let plain = |c: char| if c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.') { c } else { '-' };
+    let name: String = front.chars().take(64).map(plain).collect();
+    format!("doorgrade-{name};most={most}")
+}
+
+/// What a fill has come through, the first first, and how many it may.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Through<'a> {
+    pub names: Vec<&'a str>,
+    /// The least that any entry says.
+    pub most: Option<usize>,
+}
+
+/// What the header's values say.
+pub fn read<'a>(values: impl IntoIterator<Item = &'a str>) -> Result<Through<'a>, Cut> {
+    let (mut through, mut bytes) = (Through::default(), 0);
     for value in values {
         bytes += value.len();
         if bytes > MOST_BYTES {
@@ -55,10 +70,16 @@
             if !id.bytes().all(plain) {
                 return Err(Cut::Unreadable("a name with a character that no name has"));
             }
-            if through.len() == MOST_ENTRIES {
+            if through.names.len() == MOST_ENTRIES {
                 return Err(Cut::Unreadable("more than 64 names"));
             }
-            through.push(id);
+            through.names.push(id);
+            for parameter in parts {
+                let told = parameter.trim_matches([' ', '\t']).strip_prefix("most=");
+                if let Some(most) = told.and_then(|m| m.parse::<usize>().ok()) {
+                    through.most = Some(through.most.map_or(most, |least| least.min(most)));
+                }
+            }
         }
     }
     Ok(through)
@@ -87,19 +108,22 @@
     Ok(pieces)
 }
 
-/// What a member does with a fill that has come through others: pass it on with this header, or cut it.
-pub fn pass_on<'a>(values: impl IntoIterator<Item = &'a str>, own: &str, most: usize) -> Result<String, Cut> {
-    let through = read(values)?;
-    if let Some(at) = through.iter().position(|&name| name == own) {
-        let ring = through[at..].iter().chain([&own]).map(|&n| n.into()).collect();
+/// What a member does with a fill that has come through others: pass it on with this header, or cut it. Entries
+/// go on as they came.
+pub fn pass_on<'a>(values: impl IntoIterator<Item = &'a str> + Clone, own: &str) -> Result<String, Cut> {
+    let through = read(values.clone())?;
+    let names = &through.names;
+    if let Some(at) = names.iter().position(|&name| name == own) {
+        let ring = names[at..].iter().chain([&own]).map(|&n| n.into()).collect();
         return Err(Cut::Ring(ring));
     }
-    if through.len() >= most {
-        return Err(Cut::TooDeep { through: through.len() + 1, most });
+    // The front that began it is the first, and passes nothing on.
+    if let Some(most) = through.most.filter(|&most| names.len() > most) {
+        return Err(Cut::TooDeep { through: names.len(), most });
     }
-    let mut header = String::with_capacity(through.iter().map(|n| n.len() + 2).sum::<usize>() + own.len());
-    for name in through {
-        header.push_str(name);
+    let mut header = String::new();
+    for value in values.into_iter().map(str::trim).filter(|v| !v.is_empty()) {
+        header.push_str(value);
         header.push_str(", ");
     }
     header.push_str(own);
--- a/crates/hierarchy/tests/homes.rs
+++ b/crates/hierarchy/tests/homes.rs
@@ -66,8 +66,8 @@
     #[test]
     fn no_header_makes_it_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let text = String::from_utf8_lossy(&bytes);
-        if let Ok(header) = via::pass_on([&*text], "own", 8) {
-            prop_assert!(matches!(via::pass_on([&*header], "own", 9), Err(Cut::Ring(_))));
+        if let Ok(header) = via::pass_on([&*text], "own") {
+            prop_assert!(matches!(via::pass_on([&*header], "own"), Err(Cut::Ring(_))));
         }
     }
 }
@@ -163,16 +163,20 @@
 
 #[test]
 fn a_fill_that_comes_round_is_cut_on_its_first_turn() {
-    let to_b = via::pass_on(["front-1"], "a", 4).unwrap();
-    assert_eq!(to_b, "front-1, a");
-    let to_a = via::pass_on([&*to_b], "b", 4).unwrap();
+    let begun = via::begin("n 1", 3);
+    assert_eq!(begun, "doorgrade-n-1;most=3");
+    let to_b = via::pass_on([&*begun], "a").unwrap();
+    assert_eq!(to_b, "doorgrade-n-1;most=3, a");
+    let to_a = via::pass_on([&*to_b], "b").unwrap();
     let ring: Vec<Box<str>> = ["a", "b", "a"].map(Into::into).into();
-    assert_eq!(via::pass_on([&*to_a], "a", 4), Err(Cut::Ring(ring)));
-    assert_eq!(via::pass_on([&*to_a], "c", 3), Err(Cut::TooDeep { through: 4, most: 3 }));
+    assert_eq!(via::pass_on([&*to_a], "a"), Err(Cut::Ring(ring)));
+    // Those that append nothing are found by depth.
+    let to_d = via::pass_on([&*to_a], "c").unwrap();
+    assert_eq!(via::pass_on([&*to_d], "d"), Err(Cut::TooDeep { through: 4, most: 3 }));
     // As the RFC writes them: parameters, several values, quoted commas, empty elements.
     let names =
         via::read(["foo123.foocdn.example, barcdn.example; trace=\"a,b;\\\"c\"", "AnotherCDN; x=1;y, ,"]);
-    assert_eq!(names.unwrap(), ["foo123.foocdn.example", "barcdn.example", "AnotherCDN"]);
+    assert_eq!(names.unwrap().names, ["foo123.foocdn.example", "barcdn.example", "AnotherCDN"]);
     let long = "a,".repeat(65);
     for bad in ["a \"b", "; x=1", "a b", "a\u{1}", "\"q\"", &*long, &*"a".repeat(5_000)] {
         assert!(matches!(via::read([bad]), Err(Cut::Unreadable(_))), "{bad}");
--- a/src/control.rs
+++ b/src/control.rs
@@ -28,6 +28,7 @@
     overdue: bool,
     fill: bool, // expected to need a fill over the zone's link in
     source_failed: bool,
+    kept: bool, // the source was asked only for what it holds
     next: Next,
 }
 
@@ -42,6 +43,7 @@
     sent: ArrayVec<Sent, MOST_PUSHES>,
     looked: bool,
     kept: bool,
+    held: bool, // an old home is asked for what it holds
     done: bool,
 }
 
@@ -245,8 +247,9 @@
         // Further pushes are paid from a fund, so that a shared trouble can't multiply the load.
         self.spare_pushes = (self.spare_pushes + 0.2).min(20.0);
         let (lacks, rank, renew) = self.remember(now, a);
-        let (sent, looked, kept, done) = (ArrayVec::new(), false, false, false);
-        let held = Held { access: *a, work, soft_at, keen, lacks, rank, renew, sent, looked, kept, done };
+        let (sent, looked, kept, held, done) = (ArrayVec::new(), false, false, false, false);
+        let access = *a;
+        let held = Held { access, work, soft_at, keen, lacks, rank, renew, sent, looked, kept, held, done };
         let place = self.held.insert(held);
         self.places.insert(a.id, place);
         self.route(now, place, out);
@@ -266,7 +269,9 @@
                 None => self.finish(place, out),
             };
         }
-        let source = self.pick_source(now, place, mean);
+        let ways = out.ways(&a, h.soft_at);
+        let named = self.pick_source(now, place, mean, &ways);
+        let (source, held) = (named.map(|n| n.0), named.is_some_and(|n| n.1));
         // Exception to the ordinary path: a full link in feeds on itself, since fills that come too late are
         // not kept and are missed again. Fills have a limit of their own; from half of it on, or without a
         // source, an access first asks the cache what it holds, and is filled on a miss while there is room.
@@ -286,27 +291,46 @@
         // they are told from the link. While the origin refuses, a parent gives no more than what it holds.
         let kept = looked && full && refused;
         let source = match looked && full {
-            true if kept => source.filter(|&s| self.peers[s].role == Role::Parent),
+            true if kept || held => source.filter(|&s| self.peers[s].role == Role::Parent),
+            true if ways.given => None,
             true => self.origin.filter(|&o| self.well(now, o) && self.used(now, o) < 0.1),
             false => source,
         };
-        self.held[place].kept = kept;
+        (self.held[place].kept, self.held[place].held) = (kept, held);
         self.probe_at = if full || !looked { self.probe_at } else { now + (2_000.0 * self.crew) as Tenths };
         match (picked, source) {
             (Ok(cache), source) if !looked && (tight || source.is_none()) => {
                 self.held[place].looked = true;
                 self.push(now, place, (cache, cache), Self::after_look, out)
             }
+            // An old home's copy is looked for together with the cache's own: a miss tells of both.
+            (Ok(cache), Some(source)) if held => {
+                self.push(now, place, (cache, source), Self::after_look, out);
+                self.held[place].looked = true;
+            }
             (Ok(cache), Some(source)) => self.push(now, place, (cache, source), Self::after_push, out),
             // No cache of the zone is well, or all are cold: straight to the source, over the same link in.
-            (Err(false), Some(s)) if self.may.straight && !full && self.may_repeat_at(now, place, s) => {
+            (Err(false), Some(s))
+                if self.may.straight && !full && !held && self.may_repeat_at(now, place, s) =>
+            {
                 let from = if self.peers[s].role == Role::Parent { self.origin.unwrap_or(s) } else { s };
                 self.push(now, place, (s, from), Self::after_push, out)
             }
+            // The archive's account is spent, and will have room within the soft limit.
+            (Ok(_), None) if ways.again.is_some_and(|at| at < self.latest(place)) => {
+                let number = self.held[place].sent.len() as u64;
+                out.wake(ways.again.map_or(now, |at| at.max(now + 1)), a.id << 4 | number);
+            }
             _ => self.finish(place, out),
         }
     }
 
+    /// Until when an access may wait for something before it is pushed.
+    fn latest(&self, place: usize) -> Tenths {
+        let h = &self.held[place];
+        h.soft_at.min(h.access.until.saturating_sub(self.margin))
+    }
+
     /// Rule 2: after what may have run, unrepeatable goes nowhere, deduplicated only within group and window.
     fn may_repeat_at(&self, now: Tenths, place: usize, cache: usize) -> bool {
         let h = &self.held[place];
@@ -366,8 +390,20 @@
     /// The object's first parent in one hash over all listed parents; past it only where that one is ill,
     /// failed this access, is cold and over budget, or has more out than it answers in time. Then the origin,
     /// within its own limit, so that it outlives the loss of the parents.
-    fn pick_source(&self, now: Tenths, place: usize, mean: f64) -> Option<usize> {
+    /// Where ways are given: the first of them that is fit and not tried, and whether only for what it holds.
+    fn pick_source(&self, now: Tenths, place: usize, mean: f64, ways: &Ways) -> Option<(usize, bool)> {
         let h = &self.held[place];
+        if ways.given {
+            return ways.order.iter().find_map(|w| {
+                let mut sources = self.parents.iter().copied().chain(self.origin);
+                let c = sources.find(|&c| self.peers[c].hash == w.key)?;
+                // One that a push named in vain, but not where it was the cache that could not be asked.
+                let vain = |s: &Sent| !matches!(s.ended, Some(Outcome::Unreachable | Outcome::Full));
+                let tried = h.sent.iter().any(|s| s.to.1 == c && (w.kept_only || !s.kept) && vain(s));
+                let fit = self.well(now, c) && self.cold_room(now, c, mean) && self.used(now, c) < 1.0;
+                (fit && !tried).then_some((c, w.kept_only))
+            });
+        }
         let best = self.first(h.access.object, &self.parents, |c| match c {
             _ if !self.cold_room(now, c, mean) => None,
             _ if h.sent.iter().any(|s| s.to.0 == c || s.to.1 == c) => Some(3),
@@ -375,12 +411,14 @@
             _ => Some(u8::from(self.used(now, c) >= 1.0)),
         });
         let origin = self.origin.filter(|&o| self.well(now, o) && self.used(now, o) < 1.0);
-        best.filter(|b| b.0 == 0).map(|b| b.1).or(origin).or(best.map(|b| b.1))
+        let source = best.filter(|b| b.0 == 0).map(|b| b.1).or(origin).or(best.map(|b| b.1));
+        source.map(|s| (s, false))
     }
 
     fn push(&mut self, now: Tenths, place: usize, to: (usize, usize), next: Next, out: &mut dyn Outlet) {
         let h = &self.held[place];
-        let Held { access: a, lacks, rank, renew, kept: kept_only, .. } = *h;
+        let Held { access: a, lacks, rank, renew, .. } = *h;
+        let kept_only = h.kept || h.held;
         let class = &self.classes[a.offering];
         let (work, uncacheable) = (class.mean.max(1.0), class.of.uncacheable);
         const ALPHA: Tenths = 0; // freshness threshold: the paper's basic case
@@ -407,7 +445,8 @@
             p.out.add(now, self.over, 1.0);
             p.spent = Fading { sum: p.spent.left(now, leak) + work, at: now };
         }
-        let sent = Sent { to, at: now, ended: None, overdue: false, fill, source_failed: false, next };
+        let (ended, kept) = (None, kept_only);
+        let sent = Sent { to, at: now, ended, overdue: false, fill, source_failed: false, kept, next };
         self.held[place].sent.push(sent);
         let (cache, source) = (&*self.peers[to.0].id, &*self.peers[to.1].id);
         let (wait, join) = (a.until - self.margin - now, self.may.joins && !uncacheable);
@@ -567,6 +606,8 @@
         let (h, number) = (&self.held[place], (key & 15) as usize);
         if !h.done && h.sent.get(number).is_some_and(|s| s.ended.is_none()) {
             self.overdue(now, place, number, out);
+        } else if !h.done && number == h.sent.len() && h.sent.iter().all(|s| s.ended.is_some()) {
+            self.route(now, place, out); // it has waited for a way
         }
     }
 
--- a/src/face.rs
+++ b/src/face.rs
@@ -1,6 +1,8 @@
 //! The types that pass between a link (bench adapter, real front) and the decisions in `control`.
 //! Times are whole tenths of a millisecond.
 
+use arrayvec::ArrayVec;
+
 pub type Tenths = u64;
 pub type AccessId = u64;
 
@@ -180,8 +182,34 @@
     pub kept_only: bool,
 }
 
+/// A source that may be named now, by the hash of its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Way {
+    pub key: u64,
+    /// Only for what it holds.
+    pub kept_only: bool,
+}
+
+pub const MOST_WAYS: usize = 8;
+
+/// The sources that an access may be filled from now, the first to be tried first, where the parents stand in a
+/// hierarchy of a shape of its own.
+#[derive(Clone, Debug, Default)]
+pub struct Ways {
+    /// Without it the parents are one flat list.
+    pub given: bool,
+    pub order: ArrayVec<Way, MOST_WAYS>,
+    /// When there will be more of them, if none of these will do.
+    pub again: Option<Tenths>,
+}
+
 /// Where the decisions go.
 pub trait Outlet {
+    /// Asked before each push of an access that may be filled; `until` is its soft limit.
+    fn ways(&mut self, _access: &Access, _until: Tenths) -> Ways {
+        Ways::default()
+    }
+
     fn push(&mut self, push: &Push<'_>);
     fn withdraw(&mut self, access: AccessId, push: usize);
     fn decline(&mut self, access: AccessId, stay_away: Tenths);
