Stand-ins on loopback as a library; the toy is a thin use of it

Need: experiments and tests need caches, trunk caches in tiers, the archive, the feed and clients, with faults and counts.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,14 +1,11 @@
 //! The program itself on loopback, against the stand-ins of the example.
 
-#[path = "../../../examples/toy/mod.rs"]
-mod toy;
-
 use std::io::{BufRead, BufReader, Read, Write};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use toy::{Client, Directory, Feed, Member};
+use doorgrade_standins::client::Asked;
+use doorgrade_standins::{Client, Directory, Feed, Member, Role, Spec, object};
 
 struct Front {
     process: Child,
@@ -63,9 +60,9 @@
 #[test]
 fn the_program_serves_fills_survives_losses_and_stops_in_order() {
     let directory = Directory::default();
-    let member = |id, origin| Member::start(id, "127.0.0.1:0", origin, &directory).unwrap();
-    let (one, two, origin) =
-        (member("s-00000001", false), member("s-00000002", false), member("s-00000020", true));
+    let member = |id, role| Member::start(Spec::new(id, "127.0.0.1:0", role), &directory).unwrap();
+    let (one, two) = (member("s-00000001", Role::Cache), member("s-00000002", Role::Cache));
+    let origin = member("s-00000020", Role::Archive);
     let feed = Feed::start("127.0.0.1:0").unwrap();
     let mut config = include_str!("../../../examples/config.json").replace("127.0.0.1:8080", "127.0.0.1:0");
     for (from, to) in [("9101", one.at), ("9102", two.at), ("9120", origin.at), ("9092", feed.at)] {
@@ -80,9 +77,9 @@
     for _ in 0..2 {
         let (head, body) = client.ask("images", key, 2_000).unwrap();
         assert!(head.starts_with("Status: 200"), "{head}");
-        assert_eq!(body, toy::object(&format!("/data/images/{key}/0")));
+        assert_eq!(body, object(&format!("/data/images/{key}/0")));
     }
-    assert_eq!(origin.served.load(Ordering::SeqCst), 1);
+    assert_eq!(origin.asked(), 1);
     let (head, _) = client.ask("unheard-of", key, 2_000).unwrap();
     assert!(head.starts_with("Status: 404"), "{head}");
 
@@ -97,23 +94,23 @@
     assert!(client.ask("images", key, 2_000).unwrap().0.starts_with("Status: 200"));
 
     // The cache that holds it dies: the other serves.
-    let (dead, left) = if one.served.load(Ordering::SeqCst) > 0 { (&one, &two) } else { (&two, &one) };
+    let (dead, left) = if one.asked() > 0 { (&one, &two) } else { (&two, &one) };
     dead.kill();
     until("served by the other cache", || {
         client.ask("images", key, 2_000).unwrap().0.starts_with("Status: 200")
     });
-    assert!(left.served.load(Ordering::SeqCst) > 0);
+    assert!(left.asked() > 0);
 
     // The feed is lost and comes back; what it tells then counts: with no cache left, the origin serves.
-    until("the feed is followed", || !feed.begun.lock().unwrap().is_empty());
+    until("the feed is followed", || !feed.begun().is_empty());
     feed.cut();
     let gone = |id: u8| [&[0, 0, 0, id, 127, 0, 0, 1, 0, 0, 2, 0, 0, 0, 0, 0, 0, 0, 0][..], &[0; 8]].concat();
     feed.tell(2, 2, &[gone(1), gone(2)].concat());
-    until("the feed is followed again", || feed.begun.lock().unwrap().len() > 1);
-    let before = origin.served.load(Ordering::SeqCst);
+    until("the feed is followed again", || feed.begun().len() > 1);
+    let before = origin.asked();
     until("the list was heeded", || {
         assert!(client.ask("images", key, 2_000).unwrap().0.starts_with("Status: 200"));
-        origin.served.load(Ordering::SeqCst) > before
+        origin.asked() > before
     });
 
     // A configuration that can't be used changes nothing; one with another feed is taken while it runs.
@@ -124,18 +121,20 @@
     std::fs::write(&front.config, config.replace(&feed.at.to_string(), &later.at.to_string())).unwrap();
     until("the new feed is followed from the last event", || {
         front.signal("-HUP");
-        later.begun.lock().unwrap().contains(&2)
+        later.begun().contains(&2)
     });
     assert!(client.ask("images", key, 2_000).unwrap().0.starts_with("Status: 200"));
 
     // Told to stop with an access in hand: it is answered, and the program ends by itself.
-    origin.gate.shut(true);
-    client.send_access("orders", key, 2_500, b"a write").unwrap();
-    until("the write waits at the origin", || origin.gate.waiting() == 1);
+    origin.gate().shut(true);
+    client
+        .send_access(&Asked { class: "orders", key, bucket: 17, wait_ms: 2_500, body: b"a write" })
+        .unwrap();
+    until("the write waits at the origin", || origin.gate().waiting() == 1);
     front.signal("-TERM");
     let mut late = Client::connect(front.at).unwrap();
     until("it says that it is leaving", || !late.check().unwrap());
-    origin.gate.shut(false);
+    origin.gate().shut(false);
     assert!(client.receive().unwrap().0.starts_with("Status: 200"));
     assert!(front.process.wait().unwrap().success());
 }
--- a/examples/ask.rs
+++ b/examples/ask.rs
@@ -1,12 +1,9 @@
 //! One access, as a web server would send it: `ask ADDRESS CLASS KEY`, the key being 16 hex digits.
 
-#[path = "toy/mod.rs"]
-mod toy;
-
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let args: Vec<_> = std::env::args().skip(1).collect();
     let [address, class, key] = &args[..] else { return Err("usage: ask ADDRESS CLASS KEY".into()) };
-    let mut client = toy::Client::connect(address.parse()?)?;
+    let mut client = doorgrade_standins::Client::connect(address.parse()?)?;
     println!("ready: {}", client.check()?);
     let begun = std::time::Instant::now();
     let (head, body) = client.ask(class, key, 2_000)?;
