The lab: experiments a command each; shape, check and log are the first

Need: one place for the project's experiments, each beside a baseline in the same run. Change: crates/lab with doorgrade-lab shape (real fronts on loopback, two tiers, a reshuffle, a loop that no single view shows, a cold return), check (loops, against a search of the whole) and log.

--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,99 @@
+//! `doorgrade-lab`: the project's experiments, a command each. Figures are measured in the run that prints them,
+//! beside a baseline in the same run; they are of this project's own stand-ins on loopback.
+#![forbid(unsafe_code)]
+
+mod check;
+mod log;
+mod rig;
+mod shape;
+
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+use serde_json::{Map, Value};
+
+#[derive(Parser)]
+#[command(name = "doorgrade-lab", version, about = "The project's experiments, a command each")]
+struct Cli {
+    #[command(subcommand)]
+    subject: Subject,
+}
+
+#[derive(Args, Clone)]
+pub struct How {
+    /// For all chance in the run
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// In under 30 s
+    #[arg(long)]
+    quick: bool,
+    /// The figures as one JSON object on the last line
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Subcommand)]
+enum Subject {
+    /// A hierarchy that changes shape under load: real fronts on loopback, beside fronts that rehash at once
+    Shape {
+        #[command(flatten)]
+        how: How,
+        /// The program to measure; the one beside this by default
+        #[arg(long)]
+        front: Option<std::path::PathBuf>,
+        /// Keeps the fronts' logs in this folder
+        #[arg(long)]
+        logs: Option<std::path::PathBuf>,
+    },
+    /// The check for loops on each change of shape, beside a search of the whole shape
+    Check {
+        #[command(flatten)]
+        how: How,
+    },
+    /// What a line of the log costs at a level that is off, and on
+    Log {
+        #[command(flatten)]
+        how: How,
+    },
+}
+
+/// Named figures, in the order in which they are to be read.
+#[derive(Default)]
+pub struct Figures(Map<String, Value>);
+
+impl Figures {
+    pub fn put(&mut self, name: &str, value: impl Into<Value>) {
+        self.0.insert(name.to_owned(), value.into());
+    }
+
+    /// Rounded to what the measurement can tell.
+    pub fn ratio(&mut self, name: &str, value: f64) {
+        self.put(name, (value * 1e4).round() / 1e4);
+    }
+
+    fn print(&self, json: bool) {
+        let wide = self.0.keys().map(String::len).max().unwrap_or(0);
+        self.0.iter().for_each(|(name, value)| println!("{name:wide$}  {value}"));
+        if json {
+            println!("{}", Value::Object(self.0.clone()));
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let (how, figures) = match Cli::parse().subject {
+        Subject::Shape { how, front, logs } => (how.clone(), shape::run(&how, front, logs)),
+        Subject::Check { how } => (how.clone(), Ok(check::run(&how))),
+        Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
+    };
+    match figures {
+        Ok(figures) => {
+            figures.print(how.json);
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            eprintln!("doorgrade-lab: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -147,6 +147,8 @@
     asked_at: Mutex<Vec<u64>>,
     lines: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
     open: Mutex<Vec<TcpStream>>,
+    /// At the archive: how often each access came, by class and id.
+    ran: Mutex<HashMap<(String, String), usize>>,
     drained_at: AtomicU64,
     after_drain: AtomicUsize,
     counts: Counts,
@@ -178,6 +180,7 @@
             asked_at: Mutex::default(),
             lines: Mutex::default(),
             open: Mutex::default(),
+            ran: Mutex::default(),
             drained_at: AtomicU64::new(u64::MAX),
             after_drain: AtomicUsize::new(0),
             counts: Counts::default(),
@@ -237,6 +240,18 @@
         self.inner.after_drain.load(SeqCst)
     }
 
+    /// Holds this object from now on, as if it had been filled.
+    pub fn preload(&self, path: &str) {
+        let copy = Copy { bytes: Arc::new(object(path)), made_at: unix_ms() };
+        lock(&self.inner.shelf).put(path, copy, self.inner.spec.keeps);
+    }
+
+    /// How many accesses of a class came to it more than once.
+    pub fn run_twice(&self, class: &str) -> usize {
+        let ran = lock(&self.inner.ran);
+        ran.iter().filter(|((of, _), times)| of == class && **times > 1).count()
+    }
+
     /// Drops the copies of a purged object: of all its parts, in each class.
     pub fn purge(&self, key: &str) {
         let shelf = &mut lock(&self.inner.shelf);
@@ -364,6 +379,9 @@
         let path = &head.path;
         if self.spec.role == Role::Archive {
             self.counts.fills.fetch_add(1, SeqCst);
+            let class = path.split('/').nth(2).unwrap_or("").to_owned();
+            let call = head.field("call-id").unwrap_or("").to_owned();
+            *lock(&self.ran).entry((class, call)).or_default() += 1;
             return Had::Copy(Copy { bytes: Arc::new(object(path)), made_at: unix_ms() }, "o");
         }
         let fresh = path.split('/').nth(2).and_then(|class| self.spec.fresh_ms.get(class)).copied();
