Configuration in versions: both state machines, deltas, seals, and a store that survives

Need: the operators' second wish: fronts that take numbered versions from a service, always run the last good one, and say what they run. Change: crates/versions, without I/O, clock or threads: the front's machine (offer to confirmation or refusal, staged with a count, so that a version that kills the front is turned down after two starts), the service's (waves from canaries to all that stop on refusals, missing answers or drops of service; places for returning fronts; epochs), line deltas (similar), seals (HMAC). crates/store on redb, each record with a checksum and a format number; what can't be opened is set aside. docs/versions.md. Nothing uses them yet. A timer that asked for two more made the first version's work double with each (one timer now).

--- /dev/null
+++ b/crates/versions/src/front.rs
@@ -0,0 +1,439 @@
+//! A front's side: offered, fetched, checked, staged, applied, confirmed or turned down.
+//!
+//! The shell hands in what happens and does what [`Do`] says. At any time the front runs what was applied last;
+//! what it says that it runs is that. A version is staged, with a count, before it is applied, and good once it
+//! was: a front that goes down while applying finds it staged at its next start, runs the last good one, and after
+//! `MOST_FALLS` such starts turns the version down by itself. That a store fails stops nothing but storing.
+
+use std::sync::Arc;
+
+use fastrand::Rng;
+
+use crate::delta;
+use crate::message::{Body, ToFront, ToService};
+use crate::seal::{Keys, Seal};
+use crate::{Id, MOST_CONTENT, Reason, Tenths};
+
+pub type Content = Arc<[u8]>;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Do {
+    Connect,
+    Close,
+    Send(ToService),
+    /// Say whether it can be used, and why not: [`Front::checked`].
+    Check(Id, Content),
+    /// Answered by [`Front::staged`], whatever came of it. `falls`: how often the front went down on it.
+    Stage {
+        id: Id,
+        falls: u32,
+    },
+    /// Answered by [`Front::applied`].
+    Apply(Id, Content),
+    /// Answered by [`Front::kept`], whatever came of it. What was staged is no more.
+    Keep(Id, Seal, Content),
+    /// Nothing is staged any more; unanswered.
+    Unstage,
+    /// Call [`Front::due`] then.
+    Wake(Tenths),
+    Tell(Line),
+}
+
+/// A line for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Line {
+    Runs(Id),
+    TurnedDown(Id, Reason),
+    /// The service says nothing, or can't be reached, since so long.
+    Silent(Tenths),
+    Back,
+    /// What was kept could not be used; it runs its own file.
+    OwnFile(Reason),
+    NotStored(Id),
+}
+
+/// What a start finds in the store.
+#[derive(Clone, Debug, Default)]
+pub struct Found {
+    pub good: Option<(Id, Seal, Content)>,
+    /// A version that was being applied when the front went down, and how often it was before.
+    pub staged: Option<(Id, u32)>,
+}
+
+enum Step {
+    Asked { tries: u32 },
+    Checking(Seal, Content),
+    Staging(Seal, Content),
+    Applying(Seal, Content),
+    Keeping,
+}
+
+struct Candidate {
+    id: Id,
+    step: Step,
+    since: Tenths,
+}
+
+enum Link {
+    /// Next try at the time.
+    Down {
+        at: Tenths,
+    },
+    Trying,
+    Up {
+        heard: Tenths,
+        every: Tenths,
+    },
+}
+
+pub struct Front {
+    name: Box<str>,
+    station: Box<str>,
+    keys: Keys,
+    rng: Rng,
+    runs: Option<(Id, Seal, Content)>,
+    /// What it runs would be run again after a crash.
+    stored: bool,
+    candidate: Option<Candidate>,
+    /// Offered while another was on its way.
+    next: Option<Id>,
+    /// Turned down lately, so that an offer repeated is not fetched again.
+    refused: Vec<(Id, Reason)>,
+    /// Found staged at the start: the version, and how often the front went down on it.
+    fell: Option<(Id, u32)>,
+    link: Link,
+    pause: Tenths,
+    silent_since: Option<Tenths>,
+    told_silent: bool,
+    /// The earliest time asked for that has not come.
+    wakes: Option<Tenths>,
+}
+
+/// Twice is chance (a machine lost at the wrong moment), three times is the version.
+pub const MOST_FALLS: u32 = 2;
+/// Refusals remembered: a service offers one version at a time, and seldom a second before the first is withdrawn.
+const MOST_REFUSED: usize = 8;
+/// Pauses between tries, from half a second; the longest is some minutes' share of what a service lets in.
+const PAUSES: [Tenths; 2] = [5_000, 600_000];
+/// Silence for three times as long as the service promised to say something.
+const SILENCE: u64 = 3;
+/// A content that has not come in this time is asked for again; a connection that takes longer is no good.
+const CONTENT_WITHIN: Tenths = 300_000;
+/// A minute without word is worth a line.
+const TELL_SILENT: Tenths = 600_000;
+
+impl Front {
+    /// At the start: what the store had is run by the shell before anything else (it is checked as any version;
+    /// `usable` is what came of that).
+    pub fn start(
+        now: Tenths,
+        seed: u64,
+        (name, station): (&str, &str),
+        keys: Keys,
+        found: Found,
+        usable: Result<(), Reason>,
+        out: &mut Vec<Do>,
+    ) -> Front {
+        let runs = match usable {
+            Ok(()) => found.good,
+            Err(why) => {
+                out.push(Do::Tell(Line::OwnFile(why)));
+                None
+            }
+        };
+        let mut front = Front {
+            name: name.into(),
+            station: station.into(),
+            keys,
+            rng: Rng::with_seed(seed),
+            stored: runs.is_some(),
+            runs,
+            candidate: None,
+            next: None,
+            refused: Vec::new(),
+            fell: None,
+            link: Link::Trying,
+            pause: PAUSES[0],
+            silent_since: Some(now),
+            told_silent: false,
+            wakes: None,
+        };
+        if let Some((id, falls)) = found.staged {
+            let falls = falls + 1;
+            front.fell = Some((id, falls));
+            if falls >= MOST_FALLS {
+                front.remember(id, Reason::Fatal(falls));
+                out.push(Do::Tell(Line::TurnedDown(id, Reason::Fatal(falls))));
+            }
+        }
+        out.push(Do::Connect);
+        front
+    }
+
+    pub fn runs(&self) -> Option<Id> {
+        self.runs.as_ref().map(|r| r.0)
+    }
+
+    pub fn set_keys(&mut self, keys: Keys) {
+        self.keys = keys;
+        // What was not vouched for may be now.
+        self.refused.retain(|r| !matches!(r.1, Reason::Unsealed(_)));
+    }
+
+    // ---- the connection
+
+    pub fn up(&mut self, now: Tenths, out: &mut Vec<Do>) {
+        // Until it says how often it speaks, as long as a content may take.
+        self.link = Link::Up { heard: now, every: CONTENT_WITHIN / SILENCE };
+        let runs = self.runs.as_ref().map(|r| (r.0, r.1));
+        let hello = ToService::Hello { front: self.name.clone(), station: self.station.clone(), runs };
+        out.push(Do::Send(hello));
+        self.wake(now + CONTENT_WITHIN, out);
+    }
+
+    /// It is lost, or could not be made.
+    pub fn down(&mut self, now: Tenths, out: &mut Vec<Do>) {
+        let at = now + self.pause / 2 + self.rng.u64(0..=self.pause);
+        // Apart from one another, however they came together: each doubles its own pause.
+        self.pause = (2 * self.pause).min(PAUSES[1]);
+        self.part(now, at, out);
+    }
+
+    fn part(&mut self, now: Tenths, at: Tenths, out: &mut Vec<Do>) {
+        self.link = Link::Down { at };
+        self.silent_since.get_or_insert(now);
+        // What was on its way comes to nothing; what has come goes on without the service.
+        if matches!(self.candidate, Some(Candidate { step: Step::Asked { .. }, .. })) {
+            self.candidate = None;
+        }
+        self.next = None;
+        self.wake(at, out);
+    }
+
+    fn wake(&mut self, at: Tenths, out: &mut Vec<Do>) {
+        if self.wakes.is_none_or(|w| at < w) {
+            self.wakes = Some(at);
+            out.push(Do::Wake(at));
+        }
+    }
+
+    pub fn due(&mut self, now: Tenths, out: &mut Vec<Do>) {
+        if self.wakes.is_some_and(|w| w > now) {
+            return;
+        }
+        self.wakes = None;
+        match self.link {
+            Link::Down { at } if now >= at => {
+                self.link = Link::Trying;
+                out.push(Do::Connect);
+            }
+            Link::Up { heard, every } if now >= heard + SILENCE * every => {
+                out.push(Do::Close);
+                self.down(now, out);
+            }
+            Link::Up { heard, every } => self.wake(heard + SILENCE * every, out),
+            Link::Down { at } => self.wake(at, out),
+            Link::Trying => {}
+        }
+        if let Some(Candidate { id, step: Step::Asked { tries }, since }) = &self.candidate {
+            let (id, tries, by) = (*id, tries + 1, since + CONTENT_WITHIN);
+            if now >= by {
+                self.ask(now, id, tries, out);
+            } else {
+                self.wake(by, out);
+            }
+        }
+        if let Some(since) = self.silent_since.filter(|&s| now >= s + TELL_SILENT && !self.told_silent) {
+            self.told_silent = true;
+            out.push(Do::Tell(Line::Silent(now - since)));
+        }
+    }
+
+    // ---- what the service says
+
+    pub fn heard(&mut self, now: Tenths, message: ToFront, out: &mut Vec<Do>) {
+        let Link::Up { heard, every } = &mut self.link else { return };
+        *heard = now;
+        if let ToFront::Welcome { every: told } = &message {
+            *every = (*told).clamp(1_000, CONTENT_WITHIN);
+            let at = now + SILENCE * *every;
+            self.wake(at, out);
+        }
+        if !matches!(message, ToFront::Later { .. }) {
+            self.pause = PAUSES[0];
+            self.silent_since = None;
+            if std::mem::take(&mut self.told_silent) {
+                out.push(Do::Tell(Line::Back));
+            }
+        }
+        match message {
+            ToFront::Welcome { .. } | ToFront::Alive => {}
+            ToFront::Later { after } => {
+                out.push(Do::Close);
+                // As told, and a little more: nobody before its turn.
+                let after = after.min(10 * PAUSES[1]);
+                let at = now + after + self.rng.u64(0..=500);
+                self.part(now, at, out);
+            }
+            ToFront::Offer { id } => self.offered(now, id, out),
+            ToFront::Content { id, seal, body } => {
+                let asked = |c: &Candidate| c.id == id && matches!(c.step, Step::Asked { .. });
+                if !self.candidate.as_ref().is_some_and(asked) {
+                    return;
+                }
+                if !self.keys.good(&id, &seal) {
+                    return self.turn_down(now, id, Reason::Unsealed(seal.key), out);
+                }
+                self.came(now, id, seal, body, out);
+            }
+        }
+    }
+
+    fn offered(&mut self, now: Tenths, id: Id, out: &mut Vec<Do>) {
+        if let Some((runs, ..)) = &self.runs {
+            if *runs == id {
+                return out.push(Do::Send(ToService::Runs { id, stored: self.stored }));
+            }
+            if id.place() <= runs.place() {
+                let same = id.place() == runs.place();
+                let why = if same { Reason::Contradicts } else { Reason::Older };
+                out.push(Do::Tell(Line::TurnedDown(id, why.clone())));
+                return out.push(Do::Send(ToService::TurnedDown { id, why }));
+            }
+        }
+        if let Some((_, why)) = self.refused.iter().find(|r| r.0 == id) {
+            return out.push(Do::Send(ToService::TurnedDown { id, why: why.clone() }));
+        }
+        match &self.candidate {
+            Some(c) if c.id == id => {}
+            // One that is being applied can't be stopped; the later of those that wait comes after it.
+            Some(c) if !matches!(c.step, Step::Asked { .. }) => {
+                if self.next.is_none_or(|n| n.place() < id.place()) {
+                    self.next = Some(id);
+                }
+            }
+            Some(c) if id.place() < c.id.place() => {}
+            _ => self.ask(now, id, 0, out),
+        }
+    }
+
+    fn ask(&mut self, now: Tenths, id: Id, tries: u32, out: &mut Vec<Do>) {
+        self.candidate = Some(Candidate { id, step: Step::Asked { tries }, since: now });
+        // A delta that did not fit once is not asked for again.
+        let base = self.runs().filter(|_| tries == 0);
+        out.push(Do::Send(ToService::Ask { id, base }));
+        self.wake(now + CONTENT_WITHIN, out);
+    }
+
+    fn came(&mut self, now: Tenths, id: Id, seal: Seal, body: Body, out: &mut Vec<Do>) {
+        let whole = matches!(body, Body::Whole(_));
+        let content: Option<Content> = match body {
+            Body::Whole(content) => Some(content),
+            Body::Delta(steps) => self.runs.as_ref().and_then(|r| delta::apply(&r.2, &steps)).map(Into::into),
+        };
+        if let Some(long) = content.as_ref().map(|c| c.len()).filter(|&l| l > MOST_CONTENT) {
+            return self.turn_down(now, id, Reason::TooLong(long as u64), out);
+        }
+        match content.filter(|c| *blake3::hash(c).as_bytes() == id.hash) {
+            Some(content) => {
+                let step = Step::Checking(seal, content.clone());
+                self.candidate = Some(Candidate { id, step, since: now });
+                out.push(Do::Check(id, content));
+            }
+            // A delta may have been made against something else: then the whole of it is asked for.
+            None if !whole => self.ask(now, id, 1, out),
+            None => self.turn_down(now, id, Reason::Altered, out),
+        }
+    }
+
+    // ---- what the shell answers
+
+    /// What the check came to; of a version that is no more the candidate it means nothing.
+    pub fn checked(&mut self, now: Tenths, id: Id, result: Result<(), Reason>, out: &mut Vec<Do>) {
+        let Some((seal, content)) = self.at(id, |s| matches!(s, Step::Checking(..))) else { return };
+        if let Err(why) = result {
+            return self.turn_down(now, id, why, out);
+        }
+        let falls = self.fell.filter(|f| f.0 == id).map_or(0, |f| f.1);
+        self.candidate = Some(Candidate { id, step: Step::Staging(seal, content), since: now });
+        out.push(Do::Stage { id, falls });
+    }
+
+    /// It is staged, or could not be: then a crash while it is applied is not counted.
+    pub fn staged(&mut self, now: Tenths, id: Id, out: &mut Vec<Do>) {
+        let Some((seal, content)) = self.at(id, |s| matches!(s, Step::Staging(..))) else { return };
+        self.candidate = Some(Candidate { id, step: Step::Applying(seal, content.clone()), since: now });
+        out.push(Do::Apply(id, content));
+    }
+
+    pub fn applied(&mut self, now: Tenths, id: Id, result: Result<(), Reason>, out: &mut Vec<Do>) {
+        let Some((seal, content)) = self.at(id, |s| matches!(s, Step::Applying(..))) else { return };
+        if let Err(why) = result {
+            return self.turn_down(now, id, why, out);
+        }
+        self.runs = Some((id, seal, content.clone()));
+        self.stored = false;
+        self.fell = None;
+        self.candidate = Some(Candidate { id, step: Step::Keeping, since: now });
+        out.push(Do::Tell(Line::Runs(id)));
+        out.push(Do::Keep(id, seal, content));
+    }
+
+    pub fn kept(&mut self, now: Tenths, id: Id, stored: bool, out: &mut Vec<Do>) {
+        if !matches!(&self.candidate, Some(c) if c.id == id && matches!(c.step, Step::Keeping)) {
+            return;
+        }
+        self.stored = stored;
+        if !stored {
+            out.push(Do::Tell(Line::NotStored(id)));
+        }
+        self.say(ToService::Runs { id, stored }, out);
+        self.go_on(now, out);
+    }
+
+    /// How it serves, from time to time.
+    pub fn serves(&mut self, share: f32, out: &mut Vec<Do>) {
+        self.say(ToService::Serves { share }, out);
+    }
+
+    fn at(&self, id: Id, step: impl Fn(&Step) -> bool) -> Option<(Seal, Content)> {
+        let candidate = self.candidate.as_ref().filter(|c| c.id == id && step(&c.step))?;
+        match &candidate.step {
+            Step::Checking(seal, content) | Step::Staging(seal, content) | Step::Applying(seal, content) => {
+                Some((*seal, content.clone()))
+            }
+            Step::Asked { .. } | Step::Keeping => None,
+        }
+    }
+
+    fn turn_down(&mut self, now: Tenths, id: Id, why: Reason, out: &mut Vec<Do>) {
+        let staged = matches!(&self.candidate, Some(c) if matches!(c.step, Step::Applying(..)));
+        if staged {
+            out.push(Do::Unstage);
+        }
+        self.remember(id, why.clone());
+        out.push(Do::Tell(Line::TurnedDown(id, why.clone())));
+        self.say(ToService::TurnedDown { id, why }, out);
+        self.go_on(now, out);
+    }
+
+    fn remember(&mut self, id: Id, why: Reason) {
+        if self.refused.len() == MOST_REFUSED {
+            self.refused.remove(0);
+        }
+        self.refused.push((id, why));
+    }
+
+    fn go_on(&mut self, now: Tenths, out: &mut Vec<Do>) {
+        self.candidate = None;
+        if let Some(next) = self.next.take() {
+            self.offered(now, next, out);
+        }
+    }
+
+    fn say(&mut self, message: ToService, out: &mut Vec<Do>) {
+        if matches!(self.link, Link::Up { .. }) {
+            out.push(Do::Send(message));
+        }
+    }
+}
