Members cut off from the archive in one walk; new random tests run on fixed seeds

Cause: each batch of changes asked of every member of the tier, by a search of its own, whether it reaches the archive; and random tests with new seeds each time can give another verdict in each run. Change: Shape::cut_off, one walk over all, used by the guide and the commands; RngSeed::Fixed in the new tests; figures in docs and comments that were reckoned are called so.

--- a/crates/cli/src/shape.rs
+++ b/crates/cli/src/shape.rs
@@ -60,10 +60,11 @@
 }
 
 fn object(shape: &Shape) -> Value {
+    let cut_off = shape.cut_off();
     let member = |m: &Member<'_>| {
         json!({"member": m.name, "tier": m.tier, "standing": standing(m.standing), "incarnation": m.incarnation,
             "number": m.number, "fills_from": m.fills_from, "newest_in_force": m.newest,
-            "reaches_archive": shape.reaches_root(m.name)})
+            "reaches_archive": cut_off.binary_search(&m.name).is_err()})
     };
     let members: Vec<Value> = shape.members().iter().map(member).collect();
     let asides: Vec<Value> = shape.asides().iter().map(aside).collect();
@@ -174,11 +175,11 @@
         }
     }
     let members = shape.members();
-    let top = members.iter().map(|m| m.tier).max();
+    let (top, cut_off) = (members.iter().map(|m| m.tier).max(), shape.cut_off());
     for m in &members {
         if m.root && Some(m.tier) != top {
             let _ = writeln!(text, "{} fills from nobody, but does not stand in the highest tier", m.name);
-        } else if !shape.reaches_root(m.name) && m.standing == Standing::InService {
+        } else if cut_off.binary_search(&m.name).is_ok() && m.standing == Standing::InService {
             let _ = writeln!(text, "{} is cut off from the archive", m.name);
         }
     }
--- a/crates/hierarchy/src/guide.rs
+++ b/crates/hierarchy/src/guide.rs
@@ -112,17 +112,9 @@
     /// Changes of shape, from wherever they come.
     pub fn hear(&mut self, now: Tenths, changes: &[Change]) -> (Vec<Heard>, Option<Moved>) {
         let heard = changes.iter().map(|c| self.shape.hear(c)).collect();
-        self.cut_off.clear();
-        self.roots.clear();
-        for member in self.shape.members() {
-            let key = hash::text(member.name);
-            if member.root && member.standing == Standing::InService {
-                self.roots.push(key);
-            }
-            if member.tier == self.rules.tier && !self.shape.reaches_root(member.name) {
-                self.cut_off.insert(key);
-            }
-        }
+        self.cut_off = self.shape.cut_off().into_iter().map(hash::text).collect();
+        let roots = self.shape.members().into_iter().filter(|m| m.root && m.standing == Standing::InService);
+        self.roots = roots.map(|m| hash::text(m.name)).collect();
         // A font cache below the lowest member passes fills on, too.
         self.depth = self.shape.depth() + 1;
         (heard, self.settle(now))
--- a/crates/hierarchy/src/shape.rs
+++ b/crates/hierarchy/src/shape.rs
@@ -26,7 +26,7 @@
 pub use crate::order::MOST_SOURCES;
 use crate::order::Order;
 
-/// More members than any installation has named, times ten; a member takes some 300 bytes.
+/// More members than any installation has named, times ten; reckoned at half a kilobyte each, 64 MB in all.
 pub const MOST_MEMBERS: usize = 1 << 17;
 /// Twelve bytes and a name each: some days of a large installation's restarts.
 pub const MOST_DEAD: usize = 1 << 16;
@@ -676,18 +676,37 @@
         depth.into_iter().max().unwrap_or(0).max(1) as usize
     }
 
-    /// Whether a fill that a member asks its sources for can end at a root.
-    pub fn reaches_root(&self, name: &str) -> bool {
-        let mut seen = BTreeSet::new();
-        let mut stack: Vec<u32> = self.by_name.get(name).copied().into_iter().collect();
-        while let Some(node) = stack.pop() {
-            let s = &self.slots[node as usize];
-            if s.serves() && s.words.first().is_some_and(|w| w.sources.is_empty()) {
-                return true;
+    /// Live members whose fills can't end at a root, by name: one walk over all.
+    pub fn cut_off(&self) -> Vec<&str> {
+        // Of each slot whether it reaches one, once that is known; nothing in force leads round.
+        let mut reaches: Vec<Option<bool>> = vec![None; self.slots.len()];
+        let mut path: Vec<u32> = Vec::new();
+        for start in 0..self.slots.len() as u32 {
+            path.push(start);
+            while let Some(&node) = path.last() {
+                let s = &self.slots[node as usize];
+                let root = s.serves() && s.words.first().is_some_and(|w| w.sources.is_empty());
+                let unknown = s.sources.iter().copied().find(|&x| reaches[x as usize].is_none());
+                match unknown.filter(|_| !root && reaches[node as usize].is_none()) {
+                    Some(above) => path.push(above),
+                    None => {
+                        let above = s.sources.iter().any(|&x| reaches[x as usize] == Some(true));
+                        reaches[node as usize].get_or_insert(root || above);
+                        path.pop();
+                    }
+                }
             }
-            stack.extend(s.sources.iter().copied().filter(|&x| seen.insert(x)));
         }
-        false
+        let cut = |(s, reaches): &(&Slot, &Option<bool>)| s.live() && **reaches != Some(true);
+        let mut names: Vec<&str> =
+            self.slots.iter().zip(&reaches).filter(cut).map(|(s, _)| &*s.name).collect();
+        names.sort_unstable();
+        names
+    }
+
+    /// Whether a fill that a member asks its sources for can end at a root.
+    pub fn reaches_root(&self, name: &str) -> bool {
+        self.member(name).is_some() && !self.cut_off().contains(&name)
     }
 
     /// All that is known, as changes: whoever hears them all ends with this shape.
--- a/crates/hierarchy/tests/guide.rs
+++ b/crates/hierarchy/tests/guide.rs
@@ -8,6 +8,7 @@
 use doorgrade_hierarchy::{Change, Guide, Rules, Told};
 use fastrand::Rng;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const ORIGIN: &str = "archive";
 const SPREAD: Tenths = 50_000;
@@ -368,7 +369,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 48, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn the_rules_hold_while_the_shape_changes(seed in any::<u64>()) {
--- a/crates/hierarchy/tests/homes.rs
+++ b/crates/hierarchy/tests/homes.rs
@@ -4,6 +4,7 @@
 use doorgrade_hierarchy::shield::{Came, Shield, Verdict};
 use doorgrade_hierarchy::via::{self, Cut};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn list(names: &[&str]) -> Vec<Home> {
     names.iter().map(|n| Home::named(n, 1.0)).collect()
@@ -12,7 +13,7 @@
 const SPREAD: u64 = 100_000;
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 60, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
 
     /// The share that moves, in closed form, against a count over objects.
     #[test]
--- a/crates/hierarchy/tests/shape.rs
+++ b/crates/hierarchy/tests/shape.rs
@@ -5,6 +5,7 @@
 use doorgrade_hierarchy::shape::{DEPTH, Refusal};
 use doorgrade_hierarchy::{Change, Heard, Shape, Standing, Told, Why};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn stands(member: &str, incarnation: u64, number: u64, tier: u8, sources: &[&str]) -> Change {
     let fills_from = sources.iter().map(|&s| s.into()).collect();
@@ -116,7 +117,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Any order, repeats and gaps: after each change the shape is what the set heard so far comes to.
     #[test]
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -4,6 +4,7 @@
 use doorgrade_operator::settings::{Format, Level};
 use doorgrade_operator::{Settings, shape};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn problems(text: &str) -> Vec<String> {
     Settings::read("d.hcl", text).unwrap_err().0.iter().map(ToString::to_string).collect()
@@ -79,7 +80,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn a_shape_is_written_as_it_is_read(numbers in prop::collection::vec((0..9u8, 1..4u64, 1..9u64, 0..9u8), 0..20)) {
--- a/crates/versions/src/service.rs
+++ b/crates/versions/src/service.rs
@@ -50,7 +50,7 @@
 impl Default for Rules {
     fn default() -> Rules {
         Rules {
-            // A second's full reads of a large shape take a core of the service about as long.
+            // A guess, until the transport is there to be measured.
             admit: 200.0,
             alive: 50_000,
             answer_within: 300_000,
--- a/crates/versions/tests/machines.rs
+++ b/crates/versions/tests/machines.rs
@@ -12,6 +12,7 @@
 use doorgrade_versions::{Id, Reason, delta};
 use fastrand::Rng;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const SECOND: u64 = 10_000;
 const START: u64 = 17_000_000_000_000;
@@ -742,7 +743,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 150, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 150, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn no_front_runs_what_is_not_good_and_all_that_can_hear_converge(seed in any::<u64>()) {
