--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod config;
 mod log;
 mod rig;
 mod shape;
@@ -53,6 +54,11 @@
         #[command(flatten)]
         how: How,
     },
+    /// Fronts that come back after the service of versions was away, in virtual time
+    Config {
+        #[command(flatten)]
+        how: How,
+    },
     /// What a line of the log costs at a level that is off, and on
     Log {
         #[command(flatten)]
@@ -89,6 +95,7 @@
             (how.clone(), shape::run(&how, front, logs, timeline))
         }
         Subject::Check { how } => (how.clone(), Ok(check::run(&how))),
+        Subject::Config { how } => (how.clone(), Ok(config::run(&how))),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
     match figures {
