--- a/crates/versions/src/front.rs
+++ b/crates/versions/src/front.rs
@@ -103,6 +103,8 @@
     fell: Option<(Id, u32)>,
     link: Link,
     pause: Tenths,
+    /// Its moment within the longest pause is drawn.
+    placed: bool,
     silent_since: Option<Tenths>,
     told_silent: bool,
     /// The earliest time asked for that has not come.
@@ -154,6 +156,7 @@
             fell: None,
             link: Link::Trying,
             pause: PAUSES[0],
+            placed: false,
             silent_since: Some(now),
             told_silent: false,
             wakes: None,
@@ -193,9 +196,16 @@
 
     /// It is lost, or could not be made.
     pub fn down(&mut self, now: Tenths, out: &mut Vec<Do>) {
-        let at = now + self.pause / 2 + self.rng.u64(0..=self.pause);
-        // Apart from one another, however they came together: each doubles its own pause.
-        self.pause = (2 * self.pause).min(PAUSES[1]);
+        // They were cut off together. While pauses grow each doubles its own; at the longest it draws a moment within
+        // it once, and keeps to that: so whenever the service returns they come evenly over one pause.
+        let longest = PAUSES[1];
+        let after = match self.pause {
+            pause if pause < longest => pause / 2 + self.rng.u64(0..=pause),
+            _ if !std::mem::replace(&mut self.placed, true) => self.rng.u64(0..=longest),
+            _ => longest - longest / 40 + self.rng.u64(0..=longest / 20),
+        };
+        let at = now + after;
+        self.pause = (2 * self.pause).min(longest);
         self.part(now, at, out);
     }
 
@@ -260,7 +270,7 @@
             self.wake(at, out);
         }
         if !matches!(message, ToFront::Later { .. }) {
-            self.pause = PAUSES[0];
+            (self.pause, self.placed) = (PAUSES[0], false);
             self.silent_since = None;
             if std::mem::take(&mut self.told_silent) {
                 out.push(Do::Tell(Line::Back));
