--- a/crates/hierarchy/src/shape.rs
+++ b/crates/hierarchy/src/shape.rs
@@ -647,11 +647,6 @@
         self.by_name.len()
     }
 
-    /// Nodes that loop checks have looked at since the start.
-    pub fn looked(&self) -> u64 {
-        self.order.looked
-    }
-
     /// The most members that a fill can come through, the first and the last included: a fill that has come
     /// through more goes round a ring that this shape doesn't show. At least 1.
     pub fn depth(&self) -> usize {
