--- a/crates/cli/tests/helper/mod.rs
+++ b/crates/cli/tests/helper/mod.rs
@@ -1,7 +1,7 @@
 //! The program itself as a process.
 #![allow(dead_code)] // Each test file uses a part.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -37,16 +37,22 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut log = BufReader::new(process.stderr.take().unwrap()).lines();
+    let (lines, at) = follow(process.stderr.take().unwrap());
+    Front { process, config: path, at, lines }
+}
+
+/// The log from here on, and the address that it says the front listens on.
+pub fn follow(log: impl Read + Send + 'static) -> (Arc<Mutex<Vec<String>>>, std::net::SocketAddr) {
+    let mut log = BufReader::new(log).lines();
     // The log says where it listens; it is read on, so that it never blocks the front.
     let lines = Arc::new(Mutex::new(Vec::new()));
-    let line = log.by_ref().flatten().inspect(|line| lines.lock().unwrap().push(line.clone()));
+    let line = log.by_ref().map_while(Result::ok).inspect(|line| lines.lock().unwrap().push(line.clone()));
     let line = { line }.find(|line| line.contains(" listens on ")).expect("it starts");
     let (_, at) = line.split_once(" listens on ").unwrap();
     let at = at.split(|c: char| !c.is_ascii_digit() && c != '.' && c != ':').next().unwrap().parse().unwrap();
     let kept = lines.clone();
     std::thread::spawn(move || log.map_while(Result::ok).for_each(|line| kept.lock().unwrap().push(line)));
-    Front { process, config: path, at, lines }
+    (lines, at)
 }
 
 impl Front {
@@ -55,11 +61,15 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let told = Command::new("kill").args([name, &self.process.id().to_string()]).status().unwrap();
-        assert!(told.success());
+        signal(self.process.id(), name);
     }
 }
 
+pub fn signal(process: u32, name: &str) {
+    let told = Command::new("kill").args([name, &process.to_string()]).status().unwrap();
+    assert!(told.success());
+}
+
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let begun = Instant::now();
     while !holds() {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,6 +1,9 @@
 //! Serving: reads the configuration, then hands what happens to the reducer and does what it asks for.
 
+use std::io::Read;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::Duration;
 
@@ -76,15 +79,30 @@
     Some(Event::Reload(renewal))
 }
 
-/// A thread of its own hears signals and reads files, so that neither holds up the reducer.
+/// A thread of its own hears signals and reads files, so that neither holds up the reducer. It waits at a pipe: the
+/// crate's iterator would hold a pair of Unix sockets, and this program is to have none while it serves.
 fn heed_signals(place: Place, first: Config, events: Sender<Event>) -> std::io::Result<()> {
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGHUP])?;
+    let (mut heard, told) = std::io::pipe()?;
+    let (stop, renew) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    for (signal, flag) in [(SIGTERM, &stop), (SIGHUP, &renew)] {
+        // In this order: whoever is woken finds the flag set.
+        signal_hook::flag::register(signal, flag.clone())?;
+        signal_hook::low_level::pipe::register(signal, told.try_clone()?)?;
+    }
     let named = tracing::Span::current();
     std::thread::spawn(move || {
         let _named = named.entered();
-        for signal in signals.forever() {
-            let event = if signal == SIGTERM { Some(Event::Stop) } else { reload(&place, &first) };
-            event.into_iter().for_each(|event| drop(events.send(event)));
+        loop {
+            match heard.read(&mut [0; 16]) {
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(e) => return tracing::error!("signals are not heard any more: {e}"),
+                Ok(_) => {
+                    let stop = stop.swap(false, Ordering::SeqCst).then_some(Event::Stop);
+                    let renewal =
+                        || renew.swap(false, Ordering::SeqCst).then(|| reload(&place, &first)).flatten();
+                    stop.into_iter().chain(renewal()).for_each(|event| drop(events.send(event)));
+                }
+            }
         }
     });
     Ok(())
