--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,7 +3,10 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod config;
+mod keys;
 mod shape;
+mod table;
 
 use std::io::Write;
 use std::path::PathBuf;
@@ -53,6 +56,18 @@
     /// Looks at shapes of the cache hierarchy
     #[command(subcommand)]
     Shape(Shape),
+    /// Serves versions of the configuration to fronts, and answers the commands below `config`
+    Control {
+        /// The service's settings, an HCL file
+        #[arg(long, value_name = "FILE", default_value = doorgrade_control::settings::USUAL)]
+        file: PathBuf,
+    },
+    /// Publishes versions of the configuration and shows how they fare; talks to the service that the settings name
+    #[command(subcommand)]
+    Config(config::Config),
+    /// Makes authorities, certificates and seal keys, and shows when they end
+    #[command(subcommand)]
+    Keys(keys::Keys),
     /// Writes the completions for a shell to standard output
     Completions { shell: clap_complete::Shell },
     /// Writes the manual's pages into a folder
@@ -132,6 +147,13 @@
         Some(Command::Shape(Shape::Show { file, table, json })) => shape::show(&of_shape(file)?, table, json),
         Some(Command::Shape(Shape::Check { file, json })) => shape::check(&of_shape(file)?, json),
         Some(Command::Shape(Shape::Diff { old, new, json })) => shape::diff(&old, &new, json),
+        Some(Command::Control { file }) => {
+            let settings = doorgrade_control::settings::Settings::load(&file)?;
+            doorgrade_log::start(doorgrade_log::LevelFilter::INFO, doorgrade_log::Format::Human);
+            doorgrade_control::serve::serve(settings).map(|()| End::Done)
+        }
+        Some(Command::Config(command)) => config::run(command, settings),
+        Some(Command::Keys(command)) => keys::run(command),
         Some(Command::Completions { shell }) => {
             let mut out = Vec::new();
             clap_complete::generate(shell, &mut Cli::command(), "doorgrade", &mut out);
--- a/crates/cli/src/shape.rs
+++ b/crates/cli/src/shape.rs
@@ -10,6 +10,7 @@
 use doorgrade_operator::{Settings, files};
 use serde_json::{Value, json};
 
+use crate::table::columns;
 use crate::{End, say};
 
 /// The file asked for, or the one that the settings name.
@@ -71,22 +72,6 @@
     json!({"members": members, "aside": asides, "depth": shape.depth(), "dead": shape.dead().0})
 }
 
-/// Columns as wide as what stands in them.
-fn columns(rows: &[Vec<String>]) -> String {
-    let mut wide: Vec<usize> = Vec::new();
-    for row in rows {
-        wide.resize(wide.len().max(row.len()), 0);
-        row.iter().zip(&mut wide).for_each(|(cell, w)| *w = (*w).max(cell.chars().count()));
-    }
-    let mut text = String::new();
-    for row in rows {
-        let cells = row.iter().zip(&wide).map(|(cell, &w)| format!("{cell:w$}"));
-        let line = cells.collect::<Vec<_>>().join("  ");
-        let _ = writeln!(text, "{}", line.trim_end());
-    }
-    text
-}
-
 fn table(shape: &Shape) -> String {
     let head = ["member", "tier", "standing", "incarnation", "number", "fills from"].map(String::from);
     let row = |m: &Member<'_>| {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -111,6 +111,24 @@
     std::fs::remove_dir_all(at).unwrap();
 }
 
+#[test]
+fn an_installation_makes_its_own_papers_and_sees_when_they_end() {
+    let at = folder("papers");
+    assert_eq!(run(&at, &["keys", "authority", "ca", "--called", "fronts"]).0, 0);
+    let issue = |prefix: &str, days: &str| {
+        run(&at, &["keys", "issue", prefix, "--authority", "ca", "--for", "*.hill", "--days", days])
+    };
+    assert_eq!((issue("long", "90").0, issue("short", "5").0), (0, 0));
+    let (code, _, err) = issue("long", "90");
+    assert!(code == 1 && err.contains("long.key") && err.contains("exists"), "none is written over: {err}");
+    assert_eq!(run(&at, &["keys", "show", "ca.pem", "long.pem"]).0, 0);
+    let (code, out, _) = run(&at, &["keys", "show", "long.pem", "short.pem"]);
+    assert!(code == 3 && out.contains("expires in 4 days"), "{out}");
+    let (code, out, _) = run(&at, &["keys", "seal", "7"]);
+    assert!(code == 0 && out.starts_with("key \"7\" { secret = \"") && out.trim_end().len() == 87, "{out}");
+    std::fs::remove_dir_all(at).unwrap();
+}
+
 #[test]
 fn completions_and_the_manual_are_made() {
     let at = folder("made");
--- /dev/null
+++ b/crates/cli/tests/versions.rs
@@ -0,0 +1,244 @@
+//! The service, a real front and the commands, as processes on loopback.
+
+mod helper;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+
+use doorgrade_standins::client::Asked;
+use doorgrade_standins::feed::record;
+use doorgrade_standins::versions::{Place, SERVICE};
+use doorgrade_standins::{Client, Directory, Feed, Member, Role, Spec};
+use helper::{Front, signal, start, until};
+use serde_json::Value;
+
+struct Control {
+    process: Child,
+    fronts: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+fn control(place: &Place, at: &str) -> Control {
+    use std::io::{BufRead, BufReader};
+    let file = place.control(at, "127.0.0.1:0", "  soak_ms = 50\n  answer_within_ms = 5000").unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
+    let mut process = command.arg("control").arg("--file").arg(file).stderr(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(process.stderr.take().unwrap()).lines();
+    let line = lines.by_ref().map_while(Result::ok).find(|l| l.contains("fronts at ")).expect("it starts");
+    std::thread::spawn(move || lines.for_each(drop));
+    let address = |after: &str| {
+        let (_, rest) = line.split_once(after).unwrap();
+        rest.split([',', ' ']).next().unwrap().parse().unwrap()
+    };
+    Control { process, fronts: address("fronts at "), operators: address("operators at ") }
+}
+
+/// A front's settings, which have the commands' as well.
+fn settings(place: &Place, control: &Control) -> PathBuf {
+    let text = format!(
+        "versions {{\n  enabled = true\n  service = [\"{}\"]\n  server_name = \"{SERVICE}\"\n  station = \"hill\"\n  \
+         certificate = \"n1.pem\"\n  key = \"n1.key\"\n  authority = \"fronts-ca.pem\"\n  seal_keys = \"seal-keys.hcl\"\n  \
+         store = \"n1.redb\"\n}}\nmanage {{\n  service = \"{}\"\n  server_name = \"{SERVICE}\"\n  \
+         certificate = \"person.pem\"\n  key = \"person.key\"\n  authority = \"fronts-ca.pem\"\n}}\n",
+        control.fronts, control.operators
+    );
+    place.write("n1.hcl", &text).unwrap();
+    place.file("n1.hcl")
+}
+
+fn config(settings: &Path, args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
+    command.arg("config").args(args).arg("--settings").arg(settings).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn json(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).unwrap_or_else(|e| panic!("{e}: {output:?}"))
+}
+
+struct Rig {
+    place: Place,
+    control: Control,
+    settings: PathBuf,
+    config: String,
+    feed: Feed,
+    origin: Member,
+    _cache: Member,
+}
+
+impl Rig {
+    fn start(name: &str) -> Rig {
+        let place = Place::new(name).unwrap();
+        place.issue("n1", &place.fronts, &["n1"], 30).unwrap();
+        let control = control(&place, "127.0.0.1:0");
+        let settings = settings(&place, &control);
+        let directory = Directory::default();
+        let member = |id, role| Member::start(Spec::new(id, "127.0.0.1:0", role), &directory).unwrap();
+        let (cache, origin) = (member("s-00000001", Role::Cache), member("s-00000020", Role::Archive));
+        let feed = Feed::start("127.0.0.1:0").unwrap();
+        let mut config =
+            include_str!("../../../examples/config.json").replace("127.0.0.1:8080", "127.0.0.1:0");
+        for (from, to) in [("9101", cache.at), ("9102", cache.at), ("9120", origin.at), ("9092", feed.at)] {
+            config = config.replace(&format!("127.0.0.1:{from}"), &to.to_string());
+        }
+        Rig { place, control, settings, config, feed, origin, _cache: cache }
+    }
+
+    fn front(&self) -> Front {
+        start(&self.config, Some(&self.settings))
+    }
+
+    fn publish(&self, content: &str) -> Output {
+        self.place.write("next.hcl", content).unwrap();
+        config(&self.settings, &["publish", self.place.file("next.hcl").to_str().unwrap(), "--json"])
+    }
+
+    fn connected(&self) {
+        until("the front has come", || {
+            json(&config(&self.settings, &["status", "--json"]))["connected"] == 1
+        });
+    }
+}
+
+#[test]
+fn a_version_reaches_a_front_survives_its_death_and_is_taken_back() {
+    let rig = Rig::start("streamed");
+    let front = rig.front();
+    rig.connected();
+    // What no front could use is turned down before it has a number, with the file, line, key and expectation.
+    for (content, why) in [
+        ("log {", "next.hcl:1:6: is not HCL"),
+        ("log { level = 7 }\n", "next.hcl:1:15: key 'log.level': expected one of"),
+        ("limits { sockets = 3 }\n", "key 'limits.sockets': expected a whole number from 32"),
+        (
+            "hierarchy { tier = 1 }\nmember \"a\" {\n incarnation = 1\n number = 1\n tier = 2\n}\n",
+            "tier 1: expected at least one member",
+        ),
+    ] {
+        let refused = rig.publish(content);
+        assert_eq!(refused.status.code(), Some(1), "{content}");
+        assert!(text(&refused.stderr).contains(why), "{content}: {}", text(&refused.stderr));
+    }
+    // What this front could only take with a new start is turned down by it, in its own words, and stops.
+    let member = "member \"a\" {\n incarnation = 1\n number = 1\n tier = 1\n}\n";
+    let stopped = rig.publish(&format!("hierarchy {{ tier = 1 }}\n{member}"));
+    assert_eq!(stopped.status.code(), Some(3));
+    let why = json(&stopped)["stopped"].as_str().unwrap().to_owned();
+    assert!(
+        why.contains(
+            "1 of 1 fronts turned it down: it changes what is only taken at a start: hierarchy (off"
+        ),
+        "{why}"
+    );
+
+    let done = rig.publish("log { level = \"debug\" }\n");
+    assert!(done.status.success(), "{done:?}");
+    assert_eq!(json(&done)["everywhere"], true);
+    let second = json(&done)["version"].as_str().unwrap().to_owned();
+    until("its log says so", || front.log().iter().any(|l| l.contains(&format!("{second} is in use"))));
+    // Killed: it starts on what it ran, before it has heard of anybody.
+    drop(front);
+    let front = rig.front();
+    assert!(
+        front.log().iter().any(|l| l.contains(&format!("this start runs {second}"))),
+        "{:?}",
+        front.log()
+    );
+    // Its store spoilt: it runs its own file, says so, and is given the version anew.
+    drop(front);
+    std::fs::write(rig.place.file("n1.redb"), vec![7; 9_000]).unwrap();
+    let front = rig.front();
+    let log = front.log();
+    assert!(log.iter().any(|l| l.contains("the store can't be opened")), "{log:?}");
+    assert!(log.iter().any(|l| l.contains("none is kept; this start runs its own file")), "{log:?}");
+    until("it is given what is everyone's", || {
+        front.log().iter().any(|l| l.contains(&format!("{second} is in use")))
+    });
+
+    let done = rig.publish("log { level = \"warn\" }\n");
+    assert!(done.status.success(), "{done:?}");
+    let diff = config(&rig.settings, &["diff", "2", "3"]);
+    assert_eq!(diff.status.code(), Some(4));
+    assert!(text(&diff.stdout).contains("-log { level = \"debug\" }\n+log { level = \"warn\" }"));
+    let behind = config(&rig.settings, &["rollback", "2", "--expect", "2"]);
+    assert_eq!(behind.status.code(), Some(1));
+    assert!(text(&behind.stderr).contains("somebody has published since: the last version is 3"));
+    assert!(config(&rig.settings, &["rollback", "2"]).status.success());
+    let status = json(&config(&rig.settings, &["status", "--fronts", "--json"]));
+    assert_eq!((&status["current"], &status["last"]), (&1.into(), &4.into()));
+    let row = &status["list"][0];
+    assert!(row["version"].as_str().unwrap().ends_with(second.rsplit('-').next().unwrap()), "{row}");
+    let history = json(&config(&rig.settings, &["history", "--json"]));
+    let notes: Vec<_> = history["versions"].as_array().unwrap().iter().map(|v| v["note"].clone()).collect();
+    assert_eq!(notes, ["back to 2", "", "", ""]);
+    assert_eq!(text(&config(&rig.settings, &["show", "4"]).stdout), "log { level = \"debug\" }\n");
+}
+
+#[test]
+fn a_version_meets_accesses_in_flight_a_drain_a_reload_and_the_end() {
+    let mut rig = Rig::start("meets");
+    let mut front = rig.front();
+    rig.connected();
+    // Writes in flight at the origin.
+    rig.origin.gate().shut(true);
+    let mut clients: Vec<Client> = (0..6).map(|_| Client::connect(front.at).unwrap()).collect();
+    for client in &mut clients {
+        let key = "7f3a9c21e0b4d655";
+        client
+            .send_access(&Asked { class: "orders", key, bucket: 17, wait_ms: 15_000, body: b"a write" })
+            .unwrap();
+    }
+    until("they wait at the origin", || rig.origin.gate().waiting() == 6);
+    // Word that a cache drains, a version with another feed and tighter limits, and SIGHUP, all together.
+    let later = Feed::start("127.0.0.1:0").unwrap();
+    until("the feed is followed", || !rig.feed.begun().is_empty());
+    rig.feed.tell(2, 2, &record("s-00000002", rig.origin.at, 1, 0, 0, 0));
+    let content = format!("feed = \"{}\"\nlimits {{\n  memory_mb = 64\n  sockets = 128\n}}\n", later.at);
+    rig.place.write("next.hcl", &content).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
+    command.arg("config").arg("publish").arg(rig.place.file("next.hcl")).arg("--settings").arg(&rig.settings);
+    let mut publishes = command.stdout(Stdio::null()).spawn().unwrap();
+    (0..20).for_each(|_| front.signal("-HUP"));
+    assert!(publishes.wait().unwrap().success());
+    until("the version's feed is followed", || !later.begun().is_empty());
+    // A reload after it keeps what the version says over the file.
+    let before = front.log().len();
+    front.signal("-HUP");
+    until("it has reloaded", || {
+        front.log()[before..].iter().any(|l| l.contains(&format!("feed at {}", later.at)))
+    });
+    // Told to stop while one more version comes: each access is answered once, and it ends by itself.
+    rig.place.write("last.hcl", "log { level = \"warn\" }\n").unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
+    command.arg("config").arg("publish").arg(rig.place.file("last.hcl")).arg("--no-wait");
+    let published = command.arg("--settings").arg(&rig.settings).stdout(Stdio::null()).spawn();
+    signal(front.process.id(), "-TERM");
+    assert!(published.unwrap().wait().unwrap().success());
+    rig.origin.gate().shut(false);
+    for client in &mut clients {
+        assert!(client.receive().unwrap().0.starts_with("Status: 200"));
+        assert!(!client.spoke_unasked());
+    }
+    assert!(front.process.wait().unwrap().success());
+    // The service is killed and comes back with its store; the front, started again, runs what it had and finds it.
+    let at = rig.control.fronts.to_string();
+    let _ = rig.control.process.kill();
+    let _ = rig.control.process.wait();
+    let front = rig.front();
+    assert!(front.log().iter().any(|l| l.contains("versions: this start runs ")), "{:?}", front.log());
+    rig.control = control(&rig.place, &at);
+    rig.settings = settings(&rig.place, &rig.control);
+    rig.connected();
+    assert_eq!(json(&config(&rig.settings, &["status", "--json"]))["last"], 2);
+}
--- /dev/null
+++ b/crates/control/src/core.rs
@@ -0,0 +1,248 @@
+//! The one task that owns the machine and its store. What it is told comes through one bounded queue; what it says goes to
+//! each connection through a queue of its own, and whoever does not take what is said is cut off.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use doorgrade_store::ServiceStore;
+use doorgrade_stream::now;
+use doorgrade_versions::message::{ToFront, ToService};
+use doorgrade_versions::service::{Answer, Ask, Conn, Do, Line, Role, Service, Version};
+use rustc_hash::FxHashMap;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
+
+/// What a connection's task is told.
+#[derive(Debug)]
+pub enum Say {
+    Message(ToFront),
+    Close,
+}
+
+pub enum Event {
+    /// A connection whose first word has come, and where to answer.
+    Came {
+        conn: Conn,
+        to: mpsc::Sender<Say>,
+        hello: ToService,
+    },
+    Said {
+        conn: Conn,
+        message: ToService,
+    },
+    Gone {
+        conn: Conn,
+    },
+    Asked {
+        role: Role,
+        who: Arc<str>,
+        ask: Ask,
+        answer: oneshot::Sender<Answer>,
+    },
+    /// What the service tells goes there, too.
+    Watch(mpsc::Sender<Arc<Line>>),
+    Keys(Vec<(u32, Vec<u8>)>),
+    Stop,
+}
+
+/// Words that wait for one connection: an offer, a content and some signs of life. More, and it reads nothing.
+pub const MOST_WAITING: usize = 16;
+/// Lines that wait for one who watches.
+const MOST_LINES: usize = 1_024;
+const MOST_WATCHERS: usize = 64;
+
+pub struct Core {
+    service: Service,
+    store: ServiceStore,
+    conns: FxHashMap<Conn, mpsc::Sender<Say>>,
+    watchers: Vec<mpsc::Sender<Arc<Line>>>,
+    wake: Option<u64>,
+}
+
+fn told(line: &Line) {
+    match line {
+        Line::Wave { id, wave, of, fronts } => {
+            tracing::info!(version = %id, "version {id}: wave {wave} of {of}, {fronts} fronts");
+        }
+        Line::Stopped { id, why } => {
+            tracing::warn!(version = %id, "version {id}: the publication stops: {why}");
+        }
+        Line::Everywhere(id) => tracing::info!(version = %id, "version {id}: is everyone's now"),
+        Line::TurnedDown { front, id, why } => {
+            tracing::warn!(member = %front, version = %id, "version {id}: turned down by {front}: {why}");
+        }
+        Line::Lies { front, id } => {
+            tracing::error!(member = %front, version = %id, "{front} says that it runs {id}, which can't be");
+        }
+        Line::NewEpoch { epoch, because } => {
+            tracing::error!(
+                epoch,
+                "{because} is run, and not known here: this store is new or an older copy; epoch {epoch} is opened"
+            );
+        }
+        Line::Superseded { by } => {
+            tracing::error!(
+                epoch = by,
+                "a service of epoch {by} is about, later than this one: nothing is offered"
+            );
+        }
+    }
+}
+
+impl Core {
+    pub fn new(service: Service, store: ServiceStore, first: Vec<Do>) -> Core {
+        let (conns, watchers) = Default::default();
+        let mut core = Core { service, store, conns, watchers, wake: None };
+        core.perform(first);
+        core
+    }
+
+    pub async fn run(mut self, mut events: mpsc::Receiver<Event>) {
+        loop {
+            let wait = self.wake.map(|at| Duration::from_micros(at.saturating_sub(now()) * 100));
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(Event::Stop) | None => return,
+                    Some(event) => self.take(event),
+                },
+                () = sleep(wait.unwrap_or(Duration::from_secs(3_600))) => {
+                    if self.wake.is_some_and(|at| now() >= at) {
+                        self.wake = None;
+                        let mut out = Vec::new();
+                        self.service.due(now(), &mut out);
+                        self.perform(out);
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let mut out = Vec::new();
+        match event {
+            Event::Came { conn, to, hello } => {
+                self.conns.insert(conn, to);
+                self.service.heard(now(), conn, hello, &mut out);
+            }
+            Event::Said { conn, message } => {
+                if self.conns.contains_key(&conn) {
+                    self.service.heard(now(), conn, message, &mut out);
+                }
+            }
+            Event::Gone { conn } => {
+                self.conns.remove(&conn);
+                self.service.gone(now(), conn, &mut out);
+            }
+            Event::Asked { role, who, ask, answer } => {
+                let came = self.ask(role, &who, ask);
+                // Whoever asked may be gone; what was done is done.
+                let _ = answer.send(came);
+            }
+            Event::Watch(to) => {
+                self.watchers.retain(|w| !w.is_closed());
+                if self.watchers.len() < MOST_WATCHERS {
+                    self.watchers.push(to);
+                }
+            }
+            Event::Keys(keys) => match self.service.set_keys(keys) {
+                Ok(()) => tracing::info!("the keys that seal were read anew"),
+                Err(objection) => tracing::error!("the keys that seal stay as they are: {objection}"),
+            },
+            Event::Stop => {}
+        }
+        self.perform(out);
+    }
+
+    fn ask(&mut self, role: Role, who: &str, ask: Ask) -> Answer {
+        let what = match &ask {
+            Ask::Publish { .. } => "publish",
+            Ask::RollBack { .. } => "roll back",
+            Ask::Stop { .. } => "stop",
+            Ask::TakeOver => "take over",
+            _ => "",
+        };
+        let mut out = Vec::new();
+        let sound = |content: &[u8]| doorgrade_operator::Version::sound("version", content).map(drop);
+        let mut answer = self.service.asked(now(), role, ask, sound, &mut out);
+        if let Answer::Published(id) = &answer {
+            // What can't be stored is offered to nobody, and was never published.
+            let stored = out.iter().try_for_each(|each| match each {
+                Do::Store(version) => self.put(version),
+                _ => Ok(()),
+            });
+            if let Err(why) = stored {
+                self.service.withdraw(*id);
+                (answer, out) = (Answer::NotStored(why), Vec::new());
+            }
+            out.retain(|each| !matches!(each, Do::Store(_)));
+        }
+        self.perform(out);
+        if !what.is_empty() {
+            match &answer {
+                Answer::Published(id) => tracing::info!(version = %id, "{who}: {what}: version {id}"),
+                Answer::Done => tracing::info!("{who}: {what}"),
+                _ => tracing::info!("{who}: {what}: refused"),
+            }
+        }
+        answer
+    }
+
+    fn put(&self, version: &Version) -> Result<(), Box<str>> {
+        tokio::task::block_in_place(|| self.store.put(version)).map_err(|trouble| {
+            tracing::error!(version = %version.id, "version {}: {trouble}", version.id);
+            trouble.to_string().into()
+        })
+    }
+
+    /// Does what the machine asks for, in its order.
+    fn perform(&mut self, out: Vec<Do>) {
+        let mut slow = Vec::new();
+        for each in out {
+            match each {
+                Do::Send(conn, message) => {
+                    let Some(to) = self.conns.get(&conn) else { continue };
+                    if to.try_send(Say::Message(message)).is_err() {
+                        slow.push(conn);
+                    }
+                }
+                Do::Close(conn) => {
+                    if let Some(to) = self.conns.remove(&conn) {
+                        // If there is no room for it, its end is seen when the queue is dropped.
+                        let _ = to.try_send(Say::Close);
+                    }
+                }
+                // The history under the numbers of a new epoch: nothing of it is offered before it is published anew.
+                Do::Store(version) => drop(self.put(&version)),
+                Do::StoreState { epoch, base, rollout } => {
+                    let put = tokio::task::block_in_place(|| self.store.put_state(epoch, base, &rollout));
+                    if let Err(trouble) = put {
+                        tracing::error!(epoch, "how far a publication is was not stored: {trouble}");
+                    }
+                }
+                Do::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
+                Do::Tell(line) => self.tell(line),
+            }
+        }
+        for conn in slow {
+            if self.conns.remove(&conn).is_some() {
+                tracing::warn!("a front takes nothing of what it is told: cut off");
+                let mut out = Vec::new();
+                self.service.gone(now(), conn, &mut out);
+                self.perform(out);
+            }
+        }
+    }
+
+    fn tell(&mut self, line: Line) {
+        told(&line);
+        let line = Arc::new(line);
+        // Whoever is too slow to be told misses lines, and sees it by the status.
+        self.watchers
+            .retain(|w| !matches!(w.try_send(line.clone()), Err(mpsc::error::TrySendError::Closed(_))));
+    }
+}
+
+/// A queue for lines.
+pub fn lines() -> (mpsc::Sender<Arc<Line>>, mpsc::Receiver<Arc<Line>>) {
+    mpsc::channel(MOST_LINES)
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,89 @@
+//! The operators' file made into what the rest needs.
+
+use std::path::{Path, PathBuf};
+
+use doorgrade_keys::Paths;
+use doorgrade_operator::control::{Control, Papers, Role as Told, seal_keys};
+use doorgrade_operator::files::beside;
+use doorgrade_trust::rotation;
+use doorgrade_versions::service::{Role, Rules};
+
+/// Where the settings stand, seen from where the program is started, if nobody says otherwise.
+pub const USUAL: &str = "deploy/control.hcl";
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub control: Control,
+    pub file: PathBuf,
+}
+
+impl Settings {
+    pub fn load(file: &Path) -> Result<Settings, String> {
+        let name = file.display().to_string();
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: can't be read: {e}"))?;
+        let control = Control::read(&name, &text).map_err(|problems| problems.to_string())?;
+        Ok(Settings { control, file: file.into() })
+    }
+
+    fn beside(&self, named: &str) -> PathBuf {
+        beside(&self.file, named)
+    }
+
+    pub fn store(&self) -> PathBuf {
+        self.beside(&self.control.store)
+    }
+
+    pub fn seal_keys(&self) -> PathBuf {
+        self.beside(&self.control.seal_keys)
+    }
+
+    pub fn fronts(&self) -> Paths {
+        Paths::beside(&self.file, &self.control.papers)
+    }
+
+    pub fn operators(&self) -> Paths {
+        let papers =
+            Papers { authority: self.control.operators_authority.clone(), ..self.control.papers.clone() };
+        Paths::beside(&self.file, &papers)
+    }
+
+    pub fn rules(&self) -> Rules {
+        let Control { admit_per_s, alive_ms, most_fronts, publication: p, .. } = &self.control;
+        Rules {
+            admit: *admit_per_s as f64,
+            alive: alive_ms * 10,
+            answer_within: p.answer_within_ms * 10,
+            soak: p.soak_ms * 10,
+            canaries: p.canaries as usize,
+            shares: p.shares.clone(),
+            refused: p.refused,
+            missing: p.missing,
+            drop: p.drop,
+            most_fronts: *most_fronts as usize,
+            history: p.history as usize,
+        }
+    }
+
+    /// What whoever holds a certificate of these names may do; none where nobody said so.
+    pub fn role(&self, names: &[String]) -> Option<(Role, String)> {
+        let own = names.first().cloned()?;
+        if self.control.operators.is_empty() {
+            return Some((Role::Operator, own));
+        }
+        let told = self.control.operators.iter().find(|o| names.iter().any(|name| **name == *o.0))?;
+        let role = match told.1 {
+            Told::Viewer => Role::Viewer,
+            Told::Operator => Role::Operator,
+        };
+        Some((role, told.0.to_string()))
+    }
+}
+
+/// The keys of a file, sound on their own.
+pub fn keys(file: &Path) -> Result<Vec<(u32, Vec<u8>)>, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: can't be read: {e}"))?;
+    let keys = seal_keys(&name, &text).map_err(|problems| problems.to_string())?;
+    rotation::check(&keys).map_err(|objection| format!("{name}: {objection}"))?;
+    Ok(keys)
+}
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use doorgrade_log::LevelFilter;
-use doorgrade_operator::Files;
-use doorgrade_operator::settings::Level;
+use doorgrade_operator::settings::{Hierarchy, Level};
+use doorgrade_operator::{Files, Version, version};
 use doorgrade_settings::Told;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -46,6 +46,8 @@
     pub log: LevelFilter,
     /// The operators' files.
     pub files: Files,
+    /// The shape in them is all there is to be: it came with a version. A file's tells changes.
+    pub whole: bool,
 }
 
 #[derive(Clone)]
@@ -62,13 +64,13 @@
     pub log: LevelFilter,
     /// The operators' files; all off until [`Config::with`] says otherwise.
     pub files: Files,
+    /// The shape in them came with a version.
+    pub whole: bool,
 }
 
-/// Fewer descriptors, or less memory, than this leave no room for both sides of one access.
-const LEAST_SOCKETS: usize = 32;
-const LEAST_MEMORY_MB: usize = 32;
-/// Of more than this no use is made: sums must not overflow.
-const MOST: usize = 1 << 20;
+const LEAST_SOCKETS: usize = version::LEAST_SOCKETS as usize;
+const LEAST_MEMORY_MB: usize = version::LEAST_MEMORY_MB as usize;
+const MOST: usize = version::MOST as usize;
 
 /// The timers of coroutines take no more, and less could never be met; in tenths of a millisecond.
 const CONNECT_WITHIN: std::ops::RangeInclusive<u64> = 10..=600_000;
@@ -89,6 +91,17 @@
     Ok(read)
 }
 
+fn filter(level: Level) -> LevelFilter {
+    match level {
+        Level::Off => LevelFilter::OFF,
+        Level::Error => LevelFilter::ERROR,
+        Level::Warn => LevelFilter::WARN,
+        Level::Info => LevelFilter::INFO,
+        Level::Debug => LevelFilter::DEBUG,
+        Level::Trace => LevelFilter::TRACE,
+    }
+}
+
 impl Config {
     /// From the text of the file and what the environment says of name and address.
     pub fn read(text: &str, name: Option<String>, listen: Option<String>) -> Result<Config, String> {
@@ -134,24 +147,53 @@
             known,
             log: file.log.map_or(Ok(LevelFilter::INFO), |level| at("log", level.parse()))?,
             files: Files::default(),
+            whole: false,
         })
     }
 
     /// With what the operators' own files say, which goes before what the platform's does.
     pub fn with(mut self, files: Files) -> Config {
-        self.log = match files.settings.log.level {
-            None => self.log,
-            Some(Level::Off) => LevelFilter::OFF,
-            Some(Level::Error) => LevelFilter::ERROR,
-            Some(Level::Warn) => LevelFilter::WARN,
-            Some(Level::Info) => LevelFilter::INFO,
-            Some(Level::Debug) => LevelFilter::DEBUG,
-            Some(Level::Trace) => LevelFilter::TRACE,
-        };
+        self.log = files.settings.log.level.map_or(self.log, filter);
         self.files = files;
         self
     }
 
+    /// With what a version says, which goes before all files.
+    pub fn overlaid(mut self, version: &Version) -> Config {
+        self.log = version.level.map_or(self.log, filter);
+        let most = |told: Option<u64>, own: usize| told.map_or(own, |told| told as usize);
+        self.limits = Limits {
+            memory_mb: most(version.memory_mb, self.limits.memory_mb),
+            sockets: most(version.sockets, self.limits.sockets),
+        };
+        self.feed = version.feed.unwrap_or(self.feed);
+        if let Some(shape) = &version.shape {
+            self.files.shape.clone_from(shape);
+            self.whole = true;
+        }
+        self
+    }
+
+    /// What of a version this front could only take with a new start, key by key.
+    pub fn needs_restart(&self, version: &Version) -> Vec<String> {
+        let Some(told) = &version.hierarchy else { return Vec::new() };
+        let Some(own) = &self.files.settings.hierarchy else {
+            return vec!["hierarchy (off in this front's own file)".into()];
+        };
+        let Hierarchy { shape: _, tier, hand_over_ms, loop_header, shield } = told;
+        let differs = |key: &str, own: &dyn std::fmt::Display, told: &dyn std::fmt::Display| {
+            let (own, told) = (own.to_string(), told.to_string());
+            (own != told).then(|| format!("hierarchy.{key} (is {own}, told {told})"))
+        };
+        let keys = [
+            differs("tier", &own.tier, tier),
+            differs("hand_over_ms", &own.hand_over_ms, hand_over_ms),
+            differs("loop_header", &own.loop_header, loop_header),
+            differs("shield", &own.shield, shield),
+        ];
+        keys.into_iter().flatten().collect()
+    }
+
     /// What a running front takes of a configuration that replaces this one, and the keys that differ but
     /// can't be taken before the next start. `known` is not needed: the feed repeats what was missed.
     pub fn renewal(&self, new: Config) -> (Renewal, Vec<&'static str>) {
@@ -162,8 +204,10 @@
             ("settings", new.told != self.told),
             ("log.format", own.log.format != theirs.log.format),
             ("hierarchy", own.hierarchy != theirs.hierarchy),
+            ("versions", own.versions != theirs.versions),
         ];
         let waits = waits.into_iter().filter(|w| w.1).map(|w| w.0).collect();
-        (Renewal { feed: new.feed, limits: new.limits, log: new.log, files: new.files }, waits)
+        let Config { feed, limits, log, files, whole, .. } = new;
+        (Renewal { feed, limits, log, files, whole }, waits)
     }
 }
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -30,7 +30,9 @@
     /// The operators' word to stop.
     Stop,
     /// Their word to take the configuration that has replaced the one in use.
-    Reload(Renewal),
+    Reload(Box<Renewal>),
+    /// The same of a version, and where to say that it was taken.
+    Version(Box<Renewal>, tokio::sync::oneshot::Sender<()>),
 }
 
 enum Job {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod reducer;
 pub mod ring;
 pub mod serve;
+pub mod versions;
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use doorgrade::{AccessId, Ended, Front, Member, Outcome, Standing, Tenths};
+use doorgrade::{AccessId, Ended, Front, Member, Offering, Outcome, Standing, Tenths};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::answer::Reply;
@@ -54,7 +54,7 @@
     /// Time has passed.
     Tick,
     Stop,
-    Reload(Renewal),
+    Reload(Box<Renewal>),
 }
 
 /// One thing to do.
@@ -103,6 +103,16 @@
     sent: Vec<Sent>,
     /// Its soft limit, as the module sees it.
     soft_at: Tenths,
+    /// What it is worth, and until when it earns that.
+    worth: f64,
+    aim: Tenths,
+}
+
+/// Benefit asked for, and had within the soft limit, in all.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Served {
+    pub asked: f64,
+    pub in_time: f64,
 }
 
 /// The most that was in use at once, for the log.
@@ -126,6 +136,10 @@
     names: Names,
     /// Their names, and whether a push may be repeated.
     offerings: Vec<(String, bool)>,
+    /// What they are worth and until when, and the rate at which a part is sent.
+    worths: Vec<Offering>,
+    flow_kb_per_s: f64,
+    served: Served,
     bounds: Bounds,
     idle: Tenths,
     longest: Tenths,
@@ -166,13 +180,16 @@
 impl Reducer {
     pub fn new(config: Config, now: Tenths) -> Self {
         let tiers = Tiers::new(&config, now);
-        let Config { told, limits, known: (number, events), names, feed, seed, files, .. } = config;
+        let Config { told, limits, known: (number, events), names, feed, seed, files, whole, .. } = config;
         let effects = told.settings.offerings.iter().map(|o| o.effect != doorgrade::Effect::Unrepeatable);
         let mut reducer = Reducer {
             front: Front::new(&told.settings, seed),
             work: Work {
                 names,
                 offerings: told.offerings.into_iter().zip(effects).collect(),
+                worths: told.settings.offerings.clone(),
+                flow_kb_per_s: told.settings.flow_kb_per_s,
+                served: Served::default(),
                 bounds: Bounds::new(&limits),
                 idle: told.idle,
                 longest: told.longest,
@@ -202,7 +219,7 @@
                 tiers,
             },
         };
-        reducer.work.take_shape(&files.shape);
+        reducer.work.take_shape(&files.shape, whole);
         tracing::info!(
             "bounds: {:?}; {} events known up to number {number}",
             reducer.work.bounds,
@@ -224,6 +241,10 @@
         self.work.effects.drain(..)
     }
 
+    pub fn served(&self) -> Served {
+        self.work.served
+    }
+
     pub fn most(&self) -> &Most {
         &self.work.most
     }
@@ -455,7 +476,7 @@
     /// What was told but not read yet comes again: the new connection starts from the last event taken.
     fn reload(&mut self, to: &Renewal) {
         self.bounds = Bounds::new(&to.limits);
-        self.take_shape(&to.files.shape);
+        self.take_shape(&to.files.shape, to.whole);
         tracing::info!("configuration taken anew; bounds: {:?}; feed at {}", self.bounds, to.feed);
         if std::mem::replace(&mut self.feed_at, to.feed) != to.feed {
             // One that is still being made is closed once it is up.
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -152,8 +152,12 @@
         };
         let repeatable = work.offerings[offering].1;
         work.by_id.insert(request.call, access);
-        let taken =
-            Taken { client: conn, id, request, repeatable, done: false, sent: Vec::new(), soft_at: until };
+        let of = &work.worths[offering];
+        let sending = of.stretch * 10_000.0 * request.kb / work.flow_kb_per_s.max(1e-6);
+        let (worth, aim) = (of.benefit, work.now.saturating_add(of.soft).saturating_add(sending as Tenths));
+        work.served.asked += worth;
+        let (done, sent, soft_at) = (false, Vec::new(), until);
+        let taken = Taken { client: conn, id, request, repeatable, done, sent, soft_at, worth, aim };
         work.accesses.insert(access, taken);
         work.most.accesses = work.most.accesses.max(work.accesses.len());
         self.front.access(work.now, &asked, work);
@@ -285,6 +289,9 @@
     pub(super) fn answer(&mut self, access: AccessId, reply: Reply<'_>) {
         if let Some(taken) = self.accesses.get_mut(&access) {
             taken.done = true;
+            if reply.status == 200 && self.now <= taken.aim {
+                self.served.in_time += taken.worth;
+            }
             let (client, id) = (taken.client, taken.id);
             self.reply(client, id, reply);
         }
--- a/crates/front/src/reducer/tiers.rs
+++ b/crates/front/src/reducer/tiers.rs
@@ -1,7 +1,8 @@
 //! The reducer's dealings with a hierarchy of parents: what it is told, and what it says of an access.
 
 use doorgrade::{Access, AccessId, Ended, Member, Tenths, Ways};
-use doorgrade_hierarchy::{Change, Guide, Heard, Rules, guide, via};
+use doorgrade_hierarchy::aim::aim;
+use doorgrade_hierarchy::{Change, Guide, Heard, Rules, Shape, guide, via};
 
 use super::Work;
 use crate::config::Config;
@@ -53,9 +54,15 @@
 }
 
 impl Work {
-    /// Changes of shape, from a file or a stream.
-    pub(super) fn take_shape(&mut self, changes: &[Change]) {
+    /// Changes of shape; `whole`: they tell all there is to be, whatever was told before.
+    pub(super) fn take_shape(&mut self, changes: &[Change], whole: bool) {
         let Some(tiers) = &mut self.tiers else { return };
+        let leads = whole.then(|| {
+            let mut wanted = Shape::new();
+            changes.iter().for_each(|c| drop(wanted.hear(c)));
+            aim(tiers.guide.shape(), &wanted)
+        });
+        let changes = leads.as_deref().unwrap_or(changes);
         let before = tiers.guide.shape().revision;
         let (heard, moved) = tiers.guide.hear(self.now, changes);
         for (change, heard) in changes.iter().zip(heard) {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -2,21 +2,23 @@
 
 use std::io::Read;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use doorgrade_log::{Format, LevelFilter};
-use doorgrade_operator::{files, settings};
+use doorgrade_operator::{Version, files, settings};
 use rustc_hash::FxHashMap;
 use signal_hook::consts::{SIGHUP, SIGTERM};
+use tokio::sync::oneshot;
 
 use crate::accept;
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Config, Renewal};
 use crate::conn::{self, ConnId, Event, Port};
 use crate::reducer::{Effect, Input, Made, Reducer};
+use crate::versions::{Kept, Served};
 
 /// Where a front finds what it is told.
 #[derive(Clone, Debug, Default)]
@@ -55,33 +57,89 @@
     // One core is told; a coroutine reads and writes through rings on the heap, so small stacks do.
     may::config().set_workers(1).set_stack_size(0x1000);
     let (events, happened) = channel();
-    heed_signals(place, config.clone(), events.clone()).map_err(|e| format!("signals: {e}"))?;
+    // Before anything else: a version that is kept is what this start runs.
+    let kept = config.files.settings.versions.clone().map(|own| Kept::open(own, &place, &config));
+    let version = kept.as_ref().and_then(|kept| kept.version.clone());
+    let first = config.clone();
+    let config = match &version {
+        Some(version) => config.overlaid(version),
+        None => config,
+    };
+    let in_use: Shared = Arc::new(Mutex::new(InUse { place, first, version, events: events.clone() }));
+    heed_signals(in_use.clone()).map_err(|e| format!("signals: {e}"))?;
     let (listen, name) = (config.listen, config.name.clone());
     let within = Duration::from_micros(config.told.connect_within * 100);
     let mut clock = Clock::default();
-    let mut driver =
-        Driver { reducer: Reducer::new(config, clock.now()), ports: FxHashMap::default(), within, events };
+    let served = Arc::new(Served::default());
+    let mut driver = Driver {
+        reducer: Reducer::new(config, clock.now()),
+        ports: FxHashMap::default(),
+        within,
+        events,
+        taken: None,
+        served: kept.is_some().then(|| served.clone()),
+    };
     let local =
         accept::listen(listen, driver.events.clone()).map_err(|e| format!("key 'listen': {listen}: {e}"))?;
     tracing::info!("{name} listens on {local}");
     driver.reducer.input(clock.now(), Input::Listening);
+    let follows = kept.map(|kept| kept.follow(name, in_use, served)).transpose()?;
     driver.run(&mut clock, &happened);
+    if let Some(follows) = follows {
+        follows.stop();
+    }
     tracing::info!("ends; at the most: {:?}", driver.reducer.most());
     Ok(())
 }
 
-fn reload(place: &Place, first: &Config) -> Option<Event> {
-    let stays = |why| tracing::error!("{why}; the configuration in use stays");
-    let (renewal, waits) = first.renewal(place.read().map_err(stays).ok()?);
-    waits
-        .iter()
-        .for_each(|key| tracing::warn!("configuration: key '{key}': a new start will take the change"));
-    Some(Event::Reload(renewal))
+/// What the configuration in use is made of. A signal and a version may both ask for another at the same time: whoever
+/// holds this makes one of the files and the version as they are then, and queues it before the other looks.
+pub struct InUse {
+    place: Place,
+    first: Config,
+    pub(crate) version: Option<Arc<Version>>,
+    events: Sender<Event>,
+}
+
+impl InUse {
+    /// The files read anew, with a version over them, and the keys that wait for a start.
+    pub(crate) fn renewal(&self, version: Option<&Version>) -> Result<(Renewal, Vec<&'static str>), String> {
+        let read = self.place.read()?;
+        Ok(self.first.renewal(match version {
+            Some(version) => read.overlaid(version),
+            None => read,
+        }))
+    }
+
+    pub(crate) fn needs_restart(&self, version: &Version) -> Vec<String> {
+        self.first.needs_restart(version)
+    }
+
+    /// None where the front is ending.
+    pub(crate) fn send(&self, event: Event) -> Option<()> {
+        self.events.send(event).ok()
+    }
+
+    fn reload(&self) {
+        let stays = |why| tracing::error!("{why}; the configuration in use stays");
+        let Ok((renewal, waits)) = self.renewal(self.version.as_deref()).map_err(stays) else { return };
+        waits
+            .iter()
+            .for_each(|key| tracing::warn!("configuration: key '{key}': a new start will take the change"));
+        self.send(Event::Reload(Box::new(renewal)));
+    }
+}
+
+/// One thing held by two threads.
+pub type Shared = Arc<Mutex<InUse>>;
+
+pub(crate) fn lock(shared: &Shared) -> MutexGuard<'_, InUse> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// A thread of its own hears signals and reads files, so that neither holds up the reducer. It waits at a pipe: the
 /// crate's iterator would hold a pair of Unix sockets, and this program is to have none while it serves.
-fn heed_signals(place: Place, first: Config, events: Sender<Event>) -> std::io::Result<()> {
+fn heed_signals(in_use: Shared) -> std::io::Result<()> {
     let (mut heard, told) = std::io::pipe()?;
     let (stop, renew) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     for (signal, flag) in [(SIGTERM, &stop), (SIGHUP, &renew)] {
@@ -97,10 +155,13 @@
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(e) => return tracing::error!("signals are not heard any more: {e}"),
                 Ok(_) => {
-                    let stop = stop.swap(false, Ordering::SeqCst).then_some(Event::Stop);
-                    let renewal =
-                        || renew.swap(false, Ordering::SeqCst).then(|| reload(&place, &first)).flatten();
-                    stop.into_iter().chain(renewal()).for_each(|event| drop(events.send(event)));
+                    let in_use = lock(&in_use);
+                    if stop.swap(false, Ordering::SeqCst) {
+                        in_use.send(Event::Stop);
+                    }
+                    if renew.swap(false, Ordering::SeqCst) {
+                        in_use.reload();
+                    }
                 }
             }
         }
@@ -114,6 +175,10 @@
     ports: FxHashMap<ConnId, Port>,
     within: Duration,
     events: Sender<Event>,
+    /// Who waits to hear that a version was taken.
+    taken: Option<oneshot::Sender<()>>,
+    /// Where to put how it serves, if anybody looks.
+    served: Option<Arc<Served>>,
 }
 
 impl Driver {
@@ -132,6 +197,12 @@
             let now = clock.now();
             self.reducer.set_ahead(clock.ahead);
             self.reducer.input(now, input);
+            if let Some(taken) = self.taken.take() {
+                let _ = taken.send(());
+            }
+            if let Some(served) = &self.served {
+                served.put(self.reducer.served());
+            }
         }
     }
 
@@ -159,6 +230,11 @@
                 doorgrade_log::set_level(renewal.log);
                 Input::Reload(renewal)
             }
+            Event::Version(renewal, taken) => {
+                self.taken = Some(taken);
+                doorgrade_log::set_level(renewal.log);
+                Input::Reload(renewal)
+            }
         }
     }
 
--- a/crates/hierarchy/src/lib.rs
+++ b/crates/hierarchy/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`shield`]: what a front may send the archive, by whatever way, and what becomes of the rest.
 //! - [`order`]: the order in which the members of a tier stand, kept edge by edge; that is the check for loops.
 //! - [`guide`]: all of it together, for one front: which sources an access may name now, in which order.
+//! - [`aim`]: what leads from a shape in use to one that comes whole; which shapes would do harm.
 //! - [`via`]: whether a fill has come round in a ring that no single shape shows (RFC 8586).
 //!
 //! It knows only what it was told: not what a member holds, nor what other fronts believe or send. Times are
 //! whole tenths of a millisecond and are handed in.
 #![forbid(unsafe_code)]
 
+pub mod aim;
 pub mod guide;
 pub mod homes;
 pub mod order;
--- a/crates/hierarchy/src/shape.rs
+++ b/crates/hierarchy/src/shape.rs
@@ -637,6 +637,13 @@
         self.live == 0
     }
 
+    /// The least incarnation that a member of this name may start under now.
+    pub fn free_incarnation(&self, name: &str) -> u64 {
+        let ended = self.dead.get(name).map_or(0, |ended| ended.saturating_add(1));
+        let forgotten = if self.floor > 0 { self.floor.saturating_add(1) } else { 0 };
+        ended.max(forgotten)
+    }
+
     /// Names held of the dead, and the incarnation up to which the dead are forgotten.
     pub fn dead(&self) -> (usize, u64) {
         (self.dead.len(), self.floor)
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,8 @@
 mod log;
 mod rig;
 mod shape;
+mod soak;
+mod stream;
 
 use std::process::ExitCode;
 
@@ -54,10 +56,25 @@
         #[command(flatten)]
         how: How,
     },
-    /// Fronts that come back after the service of versions was away, in virtual time
+    /// Versions streamed to real fronts and to many more on TLS, with crashes and a harmful one; then fronts that come
+    /// back after the service was away, in virtual time
     Config {
         #[command(flatten)]
         how: How,
+        /// The program to measure; the one beside this by default
+        #[arg(long)]
+        front: Option<std::path::PathBuf>,
+        /// Only what is played in virtual time
+        #[arg(long)]
+        virtual_only: bool,
+    },
+    /// A front's memory over as many accesses as 45 minutes bring, with caches, objects and clients always new
+    Soak {
+        #[command(flatten)]
+        how: How,
+        /// The program to measure; the one beside this by default
+        #[arg(long)]
+        front: Option<std::path::PathBuf>,
     },
     /// What a line of the log costs at a level that is off, and on
     Log {
@@ -95,7 +112,14 @@
             (how.clone(), shape::run(&how, front, logs, timeline))
         }
         Subject::Check { how } => (how.clone(), Ok(check::run(&how))),
-        Subject::Config { how } => (how.clone(), Ok(config::run(&how))),
+        Subject::Config { how, front, virtual_only } => {
+            let mut figures = if virtual_only { Ok(Figures::default()) } else { stream::run(&how, front) };
+            if let Ok(figures) = &mut figures {
+                config::run(&how, figures);
+            }
+            (how.clone(), figures)
+        }
+        Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
     match figures {
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -86,6 +86,10 @@
         Ok(front)
     }
 
+    pub fn process(&self) -> u32 {
+        self.process.id()
+    }
+
     pub fn lines(&self) -> Vec<String> {
         self.log.lock().unwrap_or_else(|e| e.into_inner()).clone()
     }
--- a/crates/operator/src/doc.rs
+++ b/crates/operator/src/doc.rs
@@ -169,6 +169,30 @@
         self.read(key, &expected, |e| e.as_number()?.as_u64().filter(|n| range.contains(n)))
     }
 
+    /// A share of something.
+    pub fn share(&self, key: &'static str) -> Option<f64> {
+        self.read(key, "a number from 0 to 1", |e| {
+            e.as_number()?.as_f64().filter(|s| (0.0..=1.0).contains(s))
+        })
+    }
+
+    pub fn shares(&self, key: &'static str) -> Option<Vec<f64>> {
+        let one = |e: &Expression| e.as_number()?.as_f64().filter(|s| (0.0..=1.0).contains(s));
+        self.read(key, "a list of numbers from 0 to 1", |e| e.as_array()?.iter().map(one).collect())
+    }
+
+    /// Bytes in hex digits. What stands there is not repeated in a message: it is nobody's to read.
+    pub fn secret(&self, key: &'static str) -> Option<Vec<u8>> {
+        let attribute = self.attribute(key)?;
+        let hex = attribute.value.as_str().filter(|t| t.is_ascii() && t.len() % 2 == 0 && !t.is_empty());
+        let byte = |at: usize| u8::from_str_radix(hex?.get(at..at + 2)?, 16).ok();
+        let read = hex.and_then(|t| (0..t.len()).step_by(2).map(byte).collect());
+        if read.is_none() {
+            self.complain(key, "expected an even count of hex digits in quotes");
+        }
+        read
+    }
+
     pub fn texts(&self, key: &'static str) -> Option<Vec<&'a str>> {
         self.read(key, "a list of texts in quotes", |e| {
             e.as_array()?.iter().map(Expression::as_str).collect()
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,11 +5,14 @@
 //! HCL comes from `hcl-edit`, which keeps the place of each value; `strsim` finds the nearest key.
 #![forbid(unsafe_code)]
 
+pub mod control;
 mod doc;
 pub mod files;
 pub mod settings;
 pub mod shape;
+pub mod version;
 
 pub use doc::{Problem, Problems};
 pub use files::Files;
 pub use settings::Settings;
+pub use version::Version;
--- a/crates/operator/src/shape.rs
+++ b/crates/operator/src/shape.rs
@@ -52,6 +52,13 @@
     }
     let doc = Doc::parse(file, text)?;
     let root = doc.root();
+    let changes = changes(&root);
+    root.done();
+    doc.finish(changes)
+}
+
+/// The changes that stand in a block, or a file.
+pub(crate) fn changes(root: &Block<'_>) -> Vec<Change> {
     let mut changes = Vec::new();
     // What a shape would refuse whatever else it knows is the file's fault; the place is known only here.
     let mut probe = Shape::new();
@@ -69,8 +76,7 @@
     if changes.len() > MOST_MEMBERS * 8 {
         root.complain_of_all("more changes than a shape keeps");
     }
-    root.done();
-    doc.finish(changes)
+    changes
 }
 
 /// The changes as a file that reads as them.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod feed;
 pub mod member;
+pub mod versions;
 mod wire;
 
 use std::collections::HashMap;
--- /dev/null
+++ b/crates/stream/src/lib.rs
@@ -0,0 +1,30 @@
+//! Versions over a connection: messages in frames, over mutual TLS 1.3, each with a bound and a time to come in.
+//!
+//! A connection is opened with one of two protocol names (ALPN), which carry the version of the wire: `FRONTS`
+//! between a front and the service, `OPERATORS` between a person's command and the service. A frame is four bytes
+//! of length, the greatest first, and a message in `postcard`'s form. Whoever breaks this is cut off.
+#![forbid(unsafe_code)]
+
+pub mod follow;
+pub mod frame;
+pub mod wire;
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use doorgrade_versions::{MOST_CONTENT, Tenths};
+
+pub const FRONTS: &[u8] = b"doorgrade-versions/1";
+pub const OPERATORS: &[u8] = b"doorgrade-operators/1";
+
+/// The longest first word: two names, a version's place and its seal.
+pub const MOST_FIRST: usize = 1 << 10;
+/// The longest later word of a front: a refusal, with the reasons that a person is to read.
+pub const MOST_WORD: usize = 64 << 10;
+/// The longest message with a content in it; a change of one can be a little longer than the content it makes.
+pub const MOST_WITH_CONTENT: usize = MOST_CONTENT + (4 << 20);
+
+/// The system's clock; where that is before 1970, 1970.
+pub fn now() -> Tenths {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros() / 100).unwrap_or(u64::MAX)
+}
--- a/crates/versions/src/front.rs
+++ b/crates/versions/src/front.rs
@@ -60,6 +60,7 @@
     pub staged: Option<(Id, u32)>,
 }
 
+#[derive(Clone, Debug)]
 enum Step {
     Asked { tries: u32 },
     Checking(Seal, Content),
@@ -68,12 +69,14 @@
     Keeping,
 }
 
+#[derive(Clone, Debug)]
 struct Candidate {
     id: Id,
     step: Step,
     since: Tenths,
 }
 
+#[derive(Clone, Debug)]
 enum Link {
     /// Next try at the time.
     Down {
@@ -86,6 +89,7 @@
     },
 }
 
+#[derive(Clone, Debug)]
 pub struct Front {
     name: Box<str>,
     station: Box<str>,
--- a/crates/versions/src/seal.rs
+++ b/crates/versions/src/seal.rs
@@ -1,6 +1,8 @@
 //! Who vouches for a version: HMAC-SHA-256 over its place and the hash of its content, under a key with a number.
 //! While keys change hands, both the old and the new one are known. A relay in between has no key.
 
+use std::fmt;
+
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
@@ -17,6 +19,13 @@
 #[derive(Clone, Default)]
 pub struct Keys(Vec<(u32, Vec<u8>)>);
 
+impl fmt::Debug for Keys {
+    /// Their numbers; the rest is nobody's to read.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.0.iter().map(|k| k.0)).finish()
+    }
+}
+
 fn code(key: &[u8], id: &Id) -> Option<Hmac<Sha256>> {
     let mut code = Hmac::<Sha256>::new_from_slice(key).ok()?;
     code.update(b"doorgrade version 1");
@@ -31,6 +40,10 @@
         Keys(keys)
     }
 
+    pub fn all(&self) -> &[(u32, Vec<u8>)] {
+        &self.0
+    }
+
     /// None without a key.
     pub fn seal(&self, id: &Id) -> Option<Seal> {
         let (key, secret) = self.0.last()?;
--- a/crates/versions/src/service.rs
+++ b/crates/versions/src/service.rs
@@ -11,16 +11,22 @@
 //! **Work.** A publication costs work for the fronts whose turn it is, and an answer for one front: all that is
 //! asked of many is kept as counts.
 
+mod ask;
+mod fronts;
+mod status;
+mod waves;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+pub use ask::{Answer, Ask, Denied, Filter, Past, Role, Row, Totals};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
 use crate::delta;
-use crate::message::{Body, ToFront, ToService};
-use crate::seal::{Keys, Seal};
-use crate::{Id, MOST_CONTENT, MOST_NAME, Reason, Tenths};
+use crate::message::ToFront;
+use crate::seal::Keys;
+use crate::{Id, Reason, Tenths};
 
 pub type Conn = u64;
 
@@ -40,7 +46,8 @@
     /// A publication stops when a greater share of those it went to turned it down, or did not answer.
     pub refused: f64,
     pub missing: f64,
-    /// ... or when their service has fallen by more than this against what it was when it came to them.
+    /// ... or when their service has fallen by more than this against what it was when it came to them, less what
+    /// that of all others has fallen meanwhile: a storm is not the version's fault.
     pub drop: f64,
     pub most_fronts: usize,
     /// Contents kept, for deltas and for going back.
@@ -83,7 +90,7 @@
     Tell(Line),
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Line {
     Wave {
         id: Id,
@@ -130,6 +137,8 @@
 pub struct Saved {
     pub id: Id,
     pub wave: usize,
+    /// By name: after a restart nobody else is to go first.
+    pub canaries: BTreeSet<Box<str>>,
     pub stopped: Option<Stop>,
 }
 
@@ -144,15 +153,16 @@
         count: usize,
         of: usize,
     },
-    /// In thousandths of the benefit.
+    /// In thousandths of the benefit; `others`: by how much that of all others changed meanwhile.
     Dropped {
         from: u32,
         to: u32,
+        others: i32,
     },
     ByHand,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotPublished {
     /// Somebody else has published since.
     Expected {
@@ -170,7 +180,7 @@
 }
 
 /// What a front was last known to be doing.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum State {
     /// It runs what it is its turn to have.
     Current,
@@ -183,6 +193,7 @@
     Waiting,
 }
 
+#[derive(Clone, Debug)]
 struct Front {
     name: Box<str>,
     station: Box<str>,
@@ -196,12 +207,16 @@
     /// How it counts in the tally of the publication of this number.
     account: (u64, Account),
     lies: bool,
-    /// Benefit that it served, an average; and what it was when the publication came to it.
+    /// What it serves counts in the tally of that publication.
+    counted: bool,
+    /// The key that sealed what it runs, and what was sent to it last.
+    sealed: Option<u32>,
+    sent: Option<(Id, u32)>,
+    /// Benefit that it serves, an average; NaN until it has said so.
     serves: f32,
-    served: f32,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Account {
     Apart,
     Went,
@@ -210,13 +225,25 @@
     Missing,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct Tally {
     went: usize,
     runs: usize,
     refused: usize,
     missing: usize,
     first: Option<Reason>,
+    served: Served,
+}
+
+/// How the fronts serve that a publication has gone to: their sum when it came to each, and now; and the sum of the
+/// mean service that all others had when it came to each, where that was known.
+#[derive(Clone, Debug, Default)]
+struct Served {
+    before: f64,
+    now: f64,
+    count: usize,
+    others: f64,
+    beside: usize,
 }
 
 impl Tally {
@@ -230,6 +257,7 @@
     }
 }
 
+#[derive(Clone, Debug)]
 struct Rollout {
     id: Id,
     wave: usize,
@@ -237,13 +265,16 @@
     /// Since when all of the wave have answered.
     answered: Option<Tenths>,
     tally: Tally,
-    canaries: BTreeSet<usize>,
+    canaries: BTreeSet<Box<str>>,
     stopped: Option<Stop>,
+    /// Since when the service of those it went to has been too low.
+    falling: Option<Tenths>,
 }
 
 /// A delta that was made, with the hashes it leads from and to.
 type Made = ([u8; 32], [u8; 32], Arc<Vec<delta::Step>>);
 
+#[derive(Clone, Debug)]
 pub struct Service {
     rules: Rules,
     keys: Keys,
@@ -268,6 +299,8 @@
     wakes: Option<Tenths>,
     /// Deltas made lately, by what they lead from and to.
     deltas: VecDeque<Made>,
+    /// The sum of what all fronts serve that have said so, and their count.
+    serves: (f64, usize),
 }
 
 fn rank(name: &str) -> u64 {
@@ -309,6 +342,7 @@
             superseded: None,
             wakes: None,
             deltas: VecDeque::new(),
+            serves: (0.0, 0),
         };
         service.rollout = found.rollout.map(|saved| Rollout {
             id: saved.id,
@@ -316,8 +350,9 @@
             since: now,
             answered: None,
             tally: Tally::default(),
-            canaries: BTreeSet::new(),
+            canaries: saved.canaries,
             stopped: saved.stopped,
+            falling: None,
         });
         if fresh {
             service.store_state(out);
@@ -344,407 +379,13 @@
 
     fn store_state(&self, out: &mut Vec<Do>) {
         let rollout = self.rollout.as_ref();
-        let rollout = rollout.map(|r| Saved { id: r.id, wave: r.wave, stopped: r.stopped.clone() });
-        out.push(Do::StoreState { epoch: self.epoch, base: self.base, rollout });
-    }
-
-    // ---- publication
-
-    /// A new version. `expects`: the last number that whoever publishes has seen.
-    pub fn publish(
-        &mut self,
-        now: Tenths,
-        content: Arc<[u8]>,
-        note: &str,
-        expects: u64,
-        out: &mut Vec<Do>,
-    ) -> Result<Id, NotPublished> {
-        if let Some(by) = self.superseded {
-            return Err(NotPublished::Superseded { by });
-        }
-        if expects != self.last() {
-            return Err(NotPublished::Expected { last: self.last() });
-        }
-        if let Some(r) = self.rollout.as_ref().filter(|r| r.stopped.is_none()) {
-            return Err(NotPublished::UnderWay { id: r.id });
-        }
-        if content.len() > MOST_CONTENT {
-            return Err(NotPublished::TooLong(content.len()));
-        }
-        let id = Id::of(self.epoch, self.last() + 1, &content);
-        if self.keys.seal(&id).is_none() {
-            return Err(NotPublished::NoKey);
-        }
-        let version = Version { id, content, note: note.into(), at: now };
-        out.push(Do::Store(version.clone()));
-        self.versions.insert(id.number, version);
-        let keeps = |n: &u64| Some(*n) == self.base || *n == id.number;
-        while self.versions.len() > self.rules.history
-            && let Some(oldest) = self.versions.keys().copied().find(|n| !keeps(n))
-        {
-            self.versions.remove(&oldest);
-        }
-        let (wave, tally) = (0, Tally::default());
-        let canaries = self.canaries(id.number);
-        self.rollout = Some(Rollout { id, wave, since: now, answered: None, tally, canaries, stopped: None });
-        self.store_state(out);
-        self.open_wave(now, out);
-        Ok(id)
-    }
-
-    /// Back to an older content, as a new number: it goes to all at once that it may, which is who runs the bad one.
-    pub fn roll_back(&mut self, now: Tenths, number: u64, out: &mut Vec<Do>) -> Result<Id, NotPublished> {
-        let content = self.versions.get(&number).ok_or(NotPublished::NoSuchVersion)?.content.clone();
-        self.stop(Stop::ByHand, out);
-        let note = format!("back to {number}");
-        let id = self.publish(now, content, &note, self.last(), out)?;
-        if let Some(r) = &mut self.rollout {
-            // It was good before: no canary has to say so again.
-            (r.wave, r.since) = (self.rules.shares.len(), now);
-        }
-        self.store_state(out);
-        (0..self.fronts.len()).for_each(|at| self.offer(now, at, out));
-        Ok(id)
-    }
-
-    pub fn stop(&mut self, why: Stop, out: &mut Vec<Do>) {
-        if let Some(r) = self.rollout.as_mut().filter(|r| r.stopped.is_none()) {
-            r.stopped = Some(why.clone());
-            let id = r.id;
-            out.push(Do::Tell(Line::Stopped { id, why }));
-            self.store_state(out);
-        }
-    }
-
-    /// Some connected fronts of different stations.
-    fn canaries(&self, number: u64) -> BTreeSet<usize> {
-        let (mut chosen, mut stations) = (BTreeSet::new(), BTreeSet::new());
-        let start = rank(&number.to_string());
-        let ring = self.by_rank.range((start, 0)..).chain(self.by_rank.range(..(start, 0)));
-        for (&(_, at), ()) in ring {
-            if chosen.len() >= self.rules.canaries {
-                break;
-            }
-            let front = &self.fronts[at];
-            if front.conn.is_some() && stations.insert(&front.station) {
-                chosen.insert(at);
-            }
-        }
-        chosen
-    }
-
-    /// Whether it is a front's turn to have the version that is being published.
-    fn turn(&self, r: &Rollout, at: usize) -> bool {
-        if r.canaries.contains(&at) {
-            return true;
-        }
-        let Some(share) = r.wave.checked_sub(1).and_then(|w| self.rules.shares.get(w)) else {
-            return r.wave > self.rules.shares.len();
-        };
-        let place = self.fronts[at].rank.wrapping_sub(rank(&r.id.number.to_string()));
-        *share >= 1.0 || (place as f64) < share * u64::MAX as f64
-    }
-
-    /// The fronts whose turn a wave makes it: work for them alone.
-    fn of_wave(&self, r: &Rollout) -> Vec<usize> {
-        let Some(wave) = r.wave.checked_sub(1) else { return r.canaries.iter().copied().collect() };
-        let share = |w: usize| self.rules.shares.get(w).copied().unwrap_or(1.0);
-        let before = wave.checked_sub(1).map_or(0.0, share);
-        let start = rank(&r.id.number.to_string());
-        let at = |share: f64| start.wrapping_add((share.min(1.0) * u64::MAX as f64) as u64);
-        let (from, to) = (at(before), at(share(wave)));
-        let ring: Vec<usize> = if from <= to && share(wave) - before < 1.0 {
-            self.by_rank.range((from, 0)..(to, 0)).map(|(k, ())| k.1).collect()
-        } else {
-            let ends = self.by_rank.range((from, 0)..).chain(self.by_rank.range(..(to, 0)));
-            ends.map(|(k, ())| k.1).collect()
-        };
-        ring
-    }
-
-    fn open_wave(&mut self, now: Tenths, out: &mut Vec<Do>) {
-        let Some(r) = &self.rollout else { return };
-        let fronts = self.of_wave(r);
-        let (id, wave, of) = (r.id, r.wave, self.rules.shares.len());
-        out.push(Do::Tell(Line::Wave { id, wave, of, fronts: fronts.len() }));
-        for at in fronts {
-            self.offer(now, at, out);
-        }
-        self.wake(now + self.rules.soak, out);
-    }
-
-    /// What a front is to have now.
-    fn goal(&self, at: usize) -> Option<Id> {
-        if self.superseded.is_some() {
-            return None;
-        }
-        let base = self.base.and_then(|n| self.versions.get(&n)).map(|v| v.id);
-        match &self.rollout {
-            Some(r) if r.stopped.is_none() && self.turn(r, at) => Some(r.id),
-            _ => base,
-        }
-    }
-
-    fn offer(&mut self, now: Tenths, at: usize, out: &mut Vec<Do>) {
-        let Some(goal) = self.goal(at) else { return };
-        let front = &mut self.fronts[at];
-        let Some(conn) = front.conn else { return };
-        let has = front.runs.is_some_and(|r| r.place() >= goal.place());
-        let asked = front.offered.is_some_and(|o| o.0 == goal);
-        if has || asked {
-            return;
-        }
-        front.offered = Some((goal, now));
-        front.served = front.serves;
-        out.push(Do::Send(conn, ToFront::Offer { id: goal }));
-        self.awaited.push_back((now + self.rules.answer_within, at, goal));
-        self.account(at, goal, Account::Went);
-    }
-
-    /// A front counts differently from now on, if it is about the version that is being published.
-    fn account(&mut self, at: usize, id: Id, account: Account) {
-        let Some(r) = self.rollout.as_mut().filter(|r| r.id == id) else { return };
-        let own = &mut self.fronts[at].account;
-        let before = if own.0 == id.number { own.1 } else { Account::Apart };
-        *own = (id.number, account);
-        if before == account {
-            return;
-        }
-        if before == Account::Apart {
-            r.tally.went += 1;
-        }
-        if let Some(count) = r.tally.count(before) {
-            *count -= 1;
-        }
-        if let Some(count) = r.tally.count(account) {
-            *count += 1;
-        }
-        if account == Account::Went {
-            r.answered = None;
-        }
-    }
-
-    // ---- fronts
-
-    /// A front's first word; whoever does not say it first is closed by the shell.
-    fn hello(
-        &mut self,
-        now: Tenths,
-        conn: Conn,
-        name: &str,
-        station: &str,
-        runs: Option<(Id, Seal)>,
-        out: &mut Vec<Do>,
-    ) {
-        let known = self.by_name.get(name).copied();
-        let fits = |n: &str| !n.is_empty() && n.len() <= MOST_NAME;
-        if !fits(name) || !fits(station) || known.is_none() && self.fronts.len() >= self.rules.most_fronts {
-            return out.push(Do::Close(conn));
-        }
-        if let Some(after) = self.wait(now, name) {
-            out.push(Do::Send(conn, ToFront::Later { after }));
-            return out.push(Do::Close(conn));
-        }
-        let at = known.unwrap_or_else(|| {
-            let (at, rank) = (self.fronts.len(), rank(name));
-            self.fronts.push(Front {
-                name: name.into(),
-                station: station.into(),
-                rank,
-                conn: None,
-                heard: now,
-                runs: None,
-                stored: false,
-                offered: None,
-                turned_down: None,
-                account: (0, Account::Apart),
-                lies: false,
-                serves: f32::NAN,
-                served: f32::NAN,
-            });
-            self.by_name.insert(name.into(), at);
-            self.by_rank.insert((rank, at), ());
-            at
+        let rollout = rollout.map(|r| Saved {
+            id: r.id,
+            wave: r.wave,
+            canaries: r.canaries.clone(),
+            stopped: r.stopped.clone(),
         });
-        // Of two connections under one name the newer counts: the other side of the older is gone, or soon will be.
-        if let Some(old) = self.fronts[at].conn.replace(conn) {
-            self.by_conn.remove(&old);
-            out.push(Do::Close(old));
-        }
-        self.by_conn.insert(conn, at);
-        self.due.push_back((now + self.rules.alive, at, conn));
-        out.push(Do::Send(conn, ToFront::Welcome { every: self.rules.alive }));
-        let front = &mut self.fronts[at];
-        (front.heard, front.offered, front.turned_down) = (now, None, None);
-        front.runs = runs.map(|r| r.0);
-        if let Some((id, seal)) = runs {
-            self.judge(at, id, &seal, out);
-            self.account(at, id, Account::Runs);
-        }
-        self.choose(at);
-        self.offer(now, at, out);
-    }
-
-    /// How long a front has to wait until it may come in; none if it may now.
-    fn wait(&mut self, now: Tenths, name: &str) -> Option<Tenths> {
-        let each = 10_000.0 / self.rules.admit.max(1e-3);
-        if let Some(&place) = self.places.get(name) {
-            if now + 500 >= place {
-                self.places.remove(name);
-                return None;
-            }
-            return Some(place - now);
-        }
-        self.next_place = self.next_place.max(now as f64);
-        let place = self.next_place;
-        self.next_place += each;
-        // A tenth of a second's worth may come at once.
-        if place <= now as f64 + 1_000.0 {
-            return None;
-        }
-        if self.places.len() >= self.rules.most_fronts {
-            self.places.clear();
-        }
-        self.places.insert(name.into(), place as Tenths);
-        Some(place as Tenths - now)
-    }
-
-    /// Where there were too few canaries when it was published, those that come first are.
-    fn choose(&mut self, at: usize) {
-        let (most, station) = (self.rules.canaries, &self.fronts[at].station);
-        let Some(r) = self.rollout.as_mut().filter(|r| r.wave == 0 && r.canaries.len() < most) else {
-            return;
-        };
-        if r.canaries.iter().all(|&c| self.fronts[c].station != *station) {
-            r.canaries.insert(at);
-        }
-    }
-
-    /// What a front runs when it comes, against what there can be. What this service does not know, but its key has
-    /// sealed, is its own past, or another service's work; a front can't make it up.
-    fn judge(&mut self, at: usize, runs: Id, seal: &Seal, out: &mut Vec<Do>) {
-        let known = self.versions.get(&runs.number).is_some_and(|v| v.id == runs);
-        let pruned = self.versions.first_key_value().is_some_and(|v| runs.number < *v.0);
-        let strange = runs.epoch > self.epoch || runs.epoch == self.epoch && !known && !pruned;
-        if !strange {
-            return;
-        }
-        if !self.keys.good(&runs, seal) {
-            return self.lie(at, runs, out);
-        }
-        if runs.epoch == self.epoch || self.versions.is_empty() {
-            return self.new_epoch(runs, out);
-        }
-        // Another service is about, and later: this one steps back.
-        if self.superseded.is_none_or(|by| by < runs.epoch) {
-            self.superseded = Some(runs.epoch);
-            out.push(Do::Tell(Line::Superseded { by: runs.epoch }));
-        }
-    }
-
-    fn lie(&mut self, at: usize, id: Id, out: &mut Vec<Do>) {
-        let front = &mut self.fronts[at];
-        front.lies = true;
-        out.push(Do::Tell(Line::Lies { front: front.name.clone(), id }));
-    }
-
-    /// A person says that the other service is no more, or was this one, found in an older copy of its store: this one
-    /// goes on, in an epoch later than the other's.
-    pub fn take_over(&mut self, out: &mut Vec<Do>) {
-        if let Some(epoch) = self.superseded.take() {
-            self.new_epoch(Id { epoch, number: 0, hash: [0; 32] }, out);
-        }
-    }
-
-    /// From now on all is numbered anew, in an epoch later than any heard of. The history stays; nothing of it is
-    /// offered, since fronts run what came after it: only a person can say what is to be theirs.
-    fn new_epoch(&mut self, because: Id, out: &mut Vec<Do>) {
-        self.epoch = self.epoch.max(because.epoch) + 1;
-        out.push(Do::Tell(Line::NewEpoch { epoch: self.epoch, because }));
-        (self.base, self.rollout) = (None, None);
-        let old = std::mem::take(&mut self.versions);
-        for (number, version) in (1..).zip(old.into_values()) {
-            let version = Version { id: Id { epoch: self.epoch, number, ..version.id }, ..version };
-            out.push(Do::Store(version.clone()));
-            self.versions.insert(number, version);
-        }
-        self.fronts.iter_mut().for_each(|f| (f.offered, f.account) = (None, (0, Account::Apart)));
-        self.awaited.clear();
-        self.store_state(out);
-    }
-
-    pub fn heard(&mut self, now: Tenths, conn: Conn, message: ToService, out: &mut Vec<Do>) {
-        if let ToService::Hello { front, station, runs } = message {
-            return self.hello(now, conn, &front, &station, runs, out);
-        }
-        let Some(&at) = self.by_conn.get(&conn) else { return out.push(Do::Close(conn)) };
-        self.fronts[at].heard = now;
-        match message {
-            ToService::Hello { .. } => {}
-            ToService::Ask { id, base } => self.answer(conn, id, base, out),
-            ToService::Runs { id, stored } => {
-                let offered = self.fronts[at].offered.is_some_and(|o| o.0 == id);
-                let before = self.fronts[at].runs == Some(id);
-                if !offered && !before {
-                    // Nobody has offered it this.
-                    return self.lie(at, id, out);
-                }
-                let front = &mut self.fronts[at];
-                (front.runs, front.stored, front.turned_down) = (Some(id), stored, None);
-                self.account(at, id, Account::Runs);
-                self.offer(now, at, out);
-            }
-            ToService::TurnedDown { id, why } => {
-                if self.fronts[at].offered.is_some_and(|o| o.0 == id) {
-                    let front = self.fronts[at].name.clone();
-                    out.push(Do::Tell(Line::TurnedDown { front, id, why: why.clone() }));
-                    self.fronts[at].turned_down = Some((id, why.clone()));
-                    self.account(at, id, Account::Refused);
-                    if let Some(r) = self.rollout.as_mut().filter(|r| r.id == id) {
-                        r.tally.first.get_or_insert(why);
-                    }
-                }
-            }
-            ToService::Serves { share } if share.is_finite() => {
-                let front = &mut self.fronts[at];
-                let share = share.clamp(0.0, 1.0);
-                // Some reports' average: one is chance.
-                front.serves = if front.serves.is_nan() { share } else { 0.7 * front.serves + 0.3 * share };
-            }
-            ToService::Serves { .. } => {}
-        }
-        self.look(now, out);
-    }
-
-    fn answer(&mut self, conn: Conn, id: Id, base: Option<Id>, out: &mut Vec<Do>) {
-        let Some(version) = self.versions.get(&id.number).filter(|v| v.id == id) else { return };
-        let Some(seal) = self.keys.seal(&id) else { return };
-        let content = version.content.clone();
-        // Whatever it has been numbered: the same content is the same base.
-        let base = base.and_then(|b| self.versions.values().rev().find(|v| v.id.hash == b.hash));
-        let body = match base.map(|b| (b.id.hash, b.content.clone())) {
-            Some((hash, old)) => {
-                let known = self.deltas.iter().find(|d| d.0 == hash && d.1 == id.hash).map(|d| d.2.clone());
-                let steps = known.unwrap_or_else(|| {
-                    let made = Arc::new(delta::between(&old, &content));
-                    self.deltas.truncate(MOST_DELTAS - 1);
-                    self.deltas.push_front((hash, id.hash, made.clone()));
-                    made
-                });
-                Body::Delta((*steps).clone())
-            }
-            None => Body::Whole(content),
-        };
-        out.push(Do::Send(conn, ToFront::Content { id, seal, body }));
-    }
-
-    /// A connection has ended.
-    pub fn gone(&mut self, now: Tenths, conn: Conn, out: &mut Vec<Do>) {
-        if let Some(at) = self.by_conn.remove(&conn) {
-            // What it runs is what it said last, until it says otherwise.
-            self.fronts[at].conn = None;
-            self.look(now, out);
-        }
+        out.push(Do::StoreState { epoch: self.epoch, base: self.base, rollout });
     }
 
     // ---- time
@@ -775,115 +416,6 @@
         self.look(now, out);
         self.wake(now + self.rules.alive / 4, out);
     }
-
-    /// Whether the publication goes on, or stops.
-    fn look(&mut self, now: Tenths, out: &mut Vec<Do>) {
-        while let Some(&(by, at, id)) = self.awaited.front() {
-            let front = &self.fronts[at];
-            let waits = front.offered.is_some_and(|o| o.0 == id)
-                && front.runs != Some(id)
-                && front.turned_down.as_ref().is_none_or(|t| t.0 != id);
-            if waits && by > now {
-                break;
-            }
-            self.awaited.pop_front();
-            // One that is on its way back has not answered either.
-            let away = front.conn.is_none() && front.account == (id.number, Account::Went);
-            if waits || away {
-                self.account(at, id, Account::Missing);
-            }
-        }
-        let Some(r) = self.rollout.as_ref().filter(|r| r.stopped.is_none()) else { return };
-        let Tally { went, runs, refused, missing, .. } = r.tally;
-        let of = went.max(1) as f64;
-        if refused as f64 > self.rules.refused * of {
-            let first = r.tally.first.clone().unwrap_or(Reason::Contradicts);
-            return self.stop(Stop::Refused { count: refused, of: went, first }, out);
-        }
-        if missing as f64 > self.rules.missing * of {
-            return self.stop(Stop::Missing { count: missing, of: went }, out);
-        }
-        // Somebody at least has to run it, or nothing is known of it.
-        let answered = runs > 0 && runs + refused + missing >= went;
-        let r = self.rollout.as_mut().filter(|_| answered);
-        let Some(r) = r else { return };
-        let since = *r.answered.get_or_insert(now);
-        // The canaries are watched for as long as a change needs to show, also where there are none to be had.
-        let soaked = now >= since + self.rules.soak && now >= r.since + self.rules.soak;
-        if !soaked {
-            let at = since.max(r.since) + self.rules.soak;
-            return self.wake(at, out);
-        }
-        if let Some((from, to)) = self.dropped() {
-            return self.stop(Stop::Dropped { from, to }, out);
-        }
-        let Some(r) = &mut self.rollout else { return };
-        if r.wave >= self.rules.shares.len() {
-            let id = r.id;
-            self.base = Some(id.number);
-            self.rollout = None;
-            self.store_state(out);
-            out.push(Do::Tell(Line::Everywhere(id)));
-        } else {
-            (r.wave, r.since, r.answered) = (r.wave + 1, now, None);
-            self.store_state(out);
-            self.open_wave(now, out);
-        }
-    }
-
-    /// The mean service of those it came to, before and now, if it has fallen by more than it may.
-    fn dropped(&self) -> Option<(u32, u32)> {
-        let r = self.rollout.as_ref()?;
-        let told = |f: &&Front| !f.served.is_nan() && !f.serves.is_nan();
-        let touched = self.of_wave(r);
-        let all = touched.iter().map(|&at| &self.fronts[at]).filter(told);
-        let (before, now, count) = all.fold((0.0, 0.0, 0), |(b, n, count), f| {
-            (b + f64::from(f.served), n + f64::from(f.serves), count + 1)
-        });
-        let (before, now) = (before / f64::from(count.max(1)), now / f64::from(count.max(1)));
-        let bad = before - now > self.rules.drop;
-        // In thousandths.
-        bad.then_some(((1e3 * before) as u32, (1e3 * now) as u32))
-    }
-
-    // ---- what can be asked
-
-    pub fn fronts(&self) -> impl Iterator<Item = Status<'_>> {
-        (0..self.fronts.len()).map(|at| self.status(at))
-    }
-
-    fn status(&self, at: usize) -> Status<'_> {
-        let f = &self.fronts[at];
-        let goal = self.goal(at);
-        let waits = f.offered.filter(|o| Some(o.0) == goal);
-        let state = match (goal, &f.turned_down, waits) {
-            (Some(goal), ..) if f.runs == Some(goal) => State::Current,
-            (Some(goal), Some((id, why)), _) if *id == goal => State::TurnedDown(why.clone()),
-            (Some(_), _, Some((_, since))) if f.heard.max(since) < since + self.rules.answer_within => {
-                State::Offered
-            }
-            (Some(_), _, Some(_)) => State::Missing,
-            _ => State::Waiting,
-        };
-        Status {
-            front: &f.name,
-            station: &f.station,
-            connected: f.conn.is_some(),
-            heard: f.heard,
-            runs: f.runs,
-            stored: f.stored,
-            goal,
-            state,
-            lies: f.lies,
-        }
-    }
-
-    /// The publication under way or stopped: its id, wave, how many it went to, run it, turned it down, are missing.
-    pub fn progress(&self) -> Option<Progress> {
-        let r = self.rollout.as_ref()?;
-        let Tally { went, runs, refused, missing, .. } = r.tally;
-        Some(Progress { id: r.id, wave: r.wave, went, runs, refused, missing, stopped: r.stopped.clone() })
-    }
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -897,9 +429,13 @@
     pub goal: Option<Id>,
     pub state: State,
     pub lies: bool,
+    /// What share of the benefit asked for it serves; none until it has said so.
+    pub serves: Option<f32>,
+    /// The key that sealed what it runs.
+    pub sealed: Option<u32>,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
     pub id: Id,
     pub wave: usize,
--- a/deploy/doorgrade.hcl
+++ b/deploy/doorgrade.hcl
@@ -15,3 +15,25 @@
   # loop_header  = true          # pushes carry CDN-Loop
   # shield       = true          # one account of all that may reach the archive
 }
+
+# Configuration streamed by a service of versions (docs/versions.md). Off: here each front is told by a file.
+versions {
+  enabled = false
+  # service     = ["127.0.0.1:7443"]   # tried in turn; addresses, no names
+  # server_name = "control.hillside"   # the name in the service's certificate
+  # station     = "hillside"
+  # certificate = "front.pem"          # files beside this one; doorgrade keys makes them
+  # key         = "front.key"
+  # authority   = "fronts-ca.pem"      # whom the service's certificate is from
+  # seal_keys   = "seal-keys.hcl"
+  # store       = "versions.redb"      # what survives a restart
+}
+
+# Whom the commands below `doorgrade config` talk to.
+# manage {
+#   service     = "127.0.0.1:7444"
+#   server_name = "control.hillside"
+#   certificate = "person.pem"
+#   key         = "person.key"
+#   authority   = "fronts-ca.pem"
+# }
