What a go-between alters is turned down; the lab's followers can be counted

Test: a go-between with believed papers and no key: altered content, a stranger's seal, a seal of another place, an old version repeated; each is turned down with its reason.

--- a/crates/cli/tests/versions.rs
+++ b/crates/cli/tests/versions.rs
@@ -13,6 +13,27 @@
 use helper::{Front, signal, start, until};
 use serde_json::Value;
 
+const RING: &str = r#"
+hierarchy { tier = 1 }
+member "root" {
+  incarnation = 1
+  number = 1
+  tier = 2
+}
+member "a" {
+  incarnation = 1
+  number = 1
+  tier = 1
+  fills_from = ["b", "root"]
+}
+member "b" {
+  incarnation = 1
+  number = 2
+  tier = 1
+  fills_from = ["a", "root"]
+}
+"#;
+
 struct Control {
     process: Child,
     fronts: SocketAddr,
@@ -125,6 +146,7 @@
             "hierarchy { tier = 1 }\nmember \"a\" {\n incarnation = 1\n number = 1\n tier = 2\n}\n",
             "tier 1: expected at least one member",
         ),
+        (RING, "it would close a ring: b -> a -> b"),
     ] {
         let refused = rig.publish(content);
         assert_eq!(refused.status.code(), Some(1), "{content}");
--- a/crates/control/tests/service.rs
+++ b/crates/control/tests/service.rs
@@ -15,7 +15,7 @@
 use doorgrade_stream::frame::frame;
 use doorgrade_stream::wire::{Reader, Writer};
 use doorgrade_stream::{FRONTS, MOST_FIRST, MOST_WITH_CONTENT, OPERATORS};
-use doorgrade_versions::message::{ToFront, ToService};
+use doorgrade_versions::message::{Body, ToFront, ToService};
 use doorgrade_versions::seal::Keys;
 use doorgrade_versions::service::{Answer, Ask, Denied, Filter, NotPublished, State, Stop, Totals};
 use doorgrade_versions::{Id, Reason};
@@ -320,3 +320,70 @@
         }
     });
 }
+
+/// Somebody between the service and a front, with papers that are believed but no key that seals.
+#[test]
+fn what_a_go_between_alters_or_repeats_is_turned_down() {
+    runtime().block_on(async {
+        let place = Place::new("between").unwrap();
+        place.issue("hill", &place.fronts, &["*.hill"], 30).unwrap();
+        let tls = doorgrade_keys::server(&place.papers("control"), FRONTS).unwrap().made;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let papers = place.papers("hill");
+        let service = listener.local_addr().unwrap();
+        let who =
+            Who { name: "n1.hill", station: "hill", service, papers: &papers, keys: keys(&[1]), seed: 1 };
+        let front = Puppet::start(&who, good()).unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        let stream = tokio_rustls::TlsAcceptor::from(tls).accept(stream).await.unwrap();
+        let (reader, writer) = tokio::io::split(stream);
+        let (mut reader, mut writer) =
+            (Reader::new(reader, Some(MOST_FIRST), MOST_FIRST), Writer::new(writer));
+        assert!(matches!(reader.read::<ToService>().await.unwrap(), ToService::Hello { .. }));
+        writer.write(&ToFront::Welcome { every: 10_000 }).await.unwrap();
+        let sealed = |id: &Id| Keys::new(keys(&[1])).seal(id).unwrap();
+        let true_one = Id::of(5, 2, DEBUG.as_bytes());
+        let older = Id::of(5, 1, INFO.as_bytes());
+        let made_up = Id::of(5, 3, INFO.as_bytes());
+        let stranger = Keys::new(vec![(1, vec![9; 32])]).seal(&made_up).unwrap();
+        // What is offered, the content that is handed over, its seal, and what the front says in the end.
+        let cases = [
+            (true_one, INFO, sealed(&true_one), Some(Reason::Altered)),
+            (made_up, INFO, stranger, Some(Reason::Unsealed(1))),
+            (Id { number: 7, ..true_one }, DEBUG, sealed(&true_one), Some(Reason::Unsealed(1))),
+        ];
+        for (id, content, seal, expected) in cases {
+            writer.write(&ToFront::Offer { id }).await.unwrap();
+            let body = Body::Whole(content.as_bytes().into());
+            let said = loop {
+                match reader.read::<ToService>().await.unwrap() {
+                    ToService::Ask { .. } => {
+                        writer.write(&ToFront::Content { id, seal, body: body.clone() }).await.unwrap();
+                    }
+                    ToService::TurnedDown { id: of, why } if of == id => break Some(why),
+                    ToService::Runs { .. } => break None,
+                    _ => {}
+                }
+            };
+            assert_eq!(said, expected);
+        }
+        assert_eq!(front.runs(), None);
+        // A later true one is taken; then one from before it, sealed as it was, is old news.
+        let later = Id { number: 8, ..true_one };
+        for (id, content, old) in [(later, DEBUG, false), (older, INFO, true)] {
+            writer.write(&ToFront::Offer { id }).await.unwrap();
+            loop {
+                match reader.read::<ToService>().await.unwrap() {
+                    ToService::Ask { .. } => {
+                        let body = Body::Whole(content.as_bytes().into());
+                        writer.write(&ToFront::Content { id, seal: sealed(&id), body }).await.unwrap();
+                    }
+                    ToService::Runs { id: runs, .. } => break assert!(runs == id && !old),
+                    ToService::TurnedDown { why, .. } => break assert!(old && why == Reason::Older, "{why}"),
+                    _ => {}
+                }
+            }
+        }
+        assert_eq!(front.runs(), Some(later));
+    });
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -64,6 +64,9 @@
         /// The program to measure; the one beside this by default
         #[arg(long)]
         front: Option<std::path::PathBuf>,
+        /// Fronts over TLS besides the real ones; 300, or 100 with --quick
+        #[arg(long)]
+        followers: Option<usize>,
         /// Only what is played in virtual time
         #[arg(long)]
         virtual_only: bool,
@@ -112,8 +115,9 @@
             (how.clone(), shape::run(&how, front, logs, timeline))
         }
         Subject::Check { how } => (how.clone(), Ok(check::run(&how))),
-        Subject::Config { how, front, virtual_only } => {
-            let mut figures = if virtual_only { Ok(Figures::default()) } else { stream::run(&how, front) };
+        Subject::Config { how, front, followers, virtual_only } => {
+            let mut figures =
+                if virtual_only { Ok(Figures::default()) } else { stream::run(&how, front, followers) };
             if let Ok(figures) = &mut figures {
                 config::run(&how, figures);
             }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -120,6 +120,14 @@
     }
 }
 
+/// What a process holds in memory, in MB.
+pub fn memory_mb(process: u32) -> Result<f64, String> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).map_err(|e| e.to_string())?;
+    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or_default();
+    let kb: f64 = rss.trim().trim_end_matches(" kB").parse().map_err(|_| "no VmRSS in /proc")?;
+    Ok(kb / 1_024.0)
+}
+
 /// One access to be made: when, by milliseconds from the start, and of what.
 #[derive(Clone, Copy, Debug)]
 pub struct Planned {
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -48,11 +48,8 @@
 
 /// Memory in use in MB, and descriptors.
 fn holds(process: u32) -> Result<(f64, usize), String> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).map_err(|e| e.to_string())?;
-    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or_default();
-    let kb: f64 = rss.trim().trim_end_matches(" kB").parse().map_err(|_| "no VmRSS in /proc")?;
     let open = std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count);
-    Ok((kb / 1_024.0, open))
+    Ok((rig::memory_mb(process)?, open))
 }
 
 struct Shared {
--- a/crates/lab/src/stream.rs
+++ b/crates/lab/src/stream.rs
@@ -192,9 +192,9 @@
     })
 }
 
-pub fn run(how: &How, named: Option<PathBuf>) -> Result<Figures, String> {
+pub fn run(how: &How, named: Option<PathBuf>, followers: Option<usize>) -> Result<Figures, String> {
     let program = rig::program(named)?;
-    let puppets = if how.quick { 100 } else { 300 };
+    let puppets = followers.unwrap_or(if how.quick { 100 } else { 300 });
     let io = |e: std::io::Error| e.to_string();
     let place = Place::new("lab-config").map_err(io)?;
     place.write("shape.hcl", "").map_err(io)?;
@@ -221,6 +221,7 @@
     for n in 0..FRONTS {
         fronts.push(Some(start(n, &lab)?));
     }
+    let (begun, mut figures) = (Instant::now(), Figures::default());
     let mut others: Vec<Puppet> = Vec::new();
     for n in 0..puppets {
         let _here = lab.runtime.enter();
@@ -233,9 +234,11 @@
     let all = FRONTS + puppets;
     let mut asker = lab.asker()?;
     lab.until(&mut asker, "each front", |t| t.connected as usize == all)?;
+    figures.ratio("all_connected_s", begun.elapsed().as_secs_f64());
+    figures.ratio("mb_of_service_and_followers", rig::memory_mb(std::process::id())?);
 
     // 1. The whole, and one line of it.
-    let (begun, mut figures) = (Instant::now(), Figures::default());
+    let begun = Instant::now();
     let first_text = content(100, "info", "in_service", "");
     let first = lab.publish(&mut asker, &first_text)?;
     lab.until(&mut asker, "the first version", |t| t.current as usize == all && t.base == Some(first))?;
