--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -40,7 +40,7 @@
             "purgeDone": 6000.0, "upperKind": -1, "rootKind": 1, "sharesFills": true, "straight": true}
     });
     let members = json!({"revision": 1, "complete": true, "members": members});
-    json!({"name": "soak", "listen": "127.0.0.1:0", "feed": feed.at.to_string(), "seed": format!("{seed:x}"), "log": "warn",
+    json!({"name": "soak", "listen": "127.0.0.1:0", "feed": feed.at.to_string(), "seed": format!("{seed:x}"), "log": "info",
         "limits": {"cores": 1.0, "memory_mb": 48, "sockets": 608},
         "known": {"n": 1, "events": [{"n": 1, "members": members}]}, "settings": settings})
     .to_string()
