An agent for many instances: starts, drains, stops, restores; found again after its death

Need: the operators' wish for a tool and an agent that manage many instances.

Result: with traffic, an agent killed in a drain, another in its place, a stop, a rolling restart: no access lost, none answered twice, no instance started twice.

--- /dev/null
+++ b/crates/agent/src/probe.rs
@@ -0,0 +1,81 @@
+//! A look at an instance's door: whether it says that it is ready, and whether it answers anything besides.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use doorgrade_fleet::life::Check;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// For a connection and two small answers from a process on the same machine.
+const WITHIN: Duration = Duration::from_secs(2);
+/// Longest answer that is read: both are a few lines.
+const MOST_ANSWER: usize = 4 << 10;
+
+/// FastCGI 1.0: a request under a number, as a Responder, on a connection that stays.
+fn request(id: u16, params: &[(&str, &str)]) -> Vec<u8> {
+    let [high, low] = id.to_be_bytes();
+    let record = |kind: u8, content: &[u8]| {
+        let [long, short] = (content.len() as u16).to_be_bytes();
+        [&[1, kind, high, low, long, short, 0, 0], content].concat()
+    };
+    let mut pairs = Vec::new();
+    for (name, value) in params {
+        pairs.extend([name.len() as u8, value.len() as u8]);
+        pairs.extend_from_slice(name.as_bytes());
+        pairs.extend_from_slice(value.as_bytes());
+    }
+    [record(1, &[0, 1, 1, 0, 0, 0, 0, 0]), record(4, &pairs), record(4, &[]), record(5, &[])].concat()
+}
+
+/// The status of the answer under a number.
+async fn status(stream: &mut TcpStream, id: u16) -> io::Result<u16> {
+    let bad = || io::Error::from(io::ErrorKind::InvalidData);
+    let mut out = Vec::new();
+    loop {
+        let mut header = [0; 8];
+        stream.read_exact(&mut header).await?;
+        let length = usize::from(u16::from_be_bytes([header[4], header[5]])) + usize::from(header[6]);
+        let of = u16::from_be_bytes([header[2], header[3]]);
+        if header[0] != 1 || of != id || out.len() + length > MOST_ANSWER {
+            return Err(bad());
+        }
+        let mut content = vec![0; length];
+        stream.read_exact(&mut content).await?;
+        match header[1] {
+            6 => out.extend_from_slice(&content[..length - usize::from(header[6])]),
+            3 => break,
+            _ => return Err(bad()),
+        }
+    }
+    let text = std::str::from_utf8(&out).map_err(|_| bad())?;
+    let told = text.strip_prefix("Status: ").and_then(|rest| rest.get(..3));
+    told.and_then(|told| told.parse().ok()).ok_or_else(bad)
+}
+
+async fn look(at: SocketAddr) -> io::Result<Check> {
+    let mut stream = TcpStream::connect(at).await?;
+    stream.write_all(&request(1, &[("SCRIPT_NAME", "/check")])).await?;
+    if status(&mut stream, 1).await? != 200 {
+        return Ok(Check::NotReady);
+    }
+    // An access of a class that does not exist: it goes through the same hands as any, and is answered 404.
+    let access = [
+        ("SCRIPT_NAME", "/do/none-such"),
+        ("HTTP_REQ_ID", "0000000000000001"),
+        ("HTTP_REQ_WAIT_MS", "1000"),
+        ("HTTP_REQ_KEY", "0000000000000001"),
+        ("HTTP_X_SEG", "0"),
+        ("HTTP_X_BUCKET", "0"),
+    ];
+    stream.write_all(&request(2, &access)).await?;
+    status(&mut stream, 2).await?;
+    Ok(Check::Ready)
+}
+
+pub async fn check(at: SocketAddr) -> Check {
+    let looked = timeout(WITHIN, look(at)).await;
+    looked.ok().and_then(Result::ok).unwrap_or(Check::Silent)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod config;
+mod fleet;
 mod keys;
 mod shape;
 mod table;
@@ -65,6 +66,14 @@
     /// Publishes versions of the configuration and shows how they fare; talks to the service that the settings name
     #[command(subcommand)]
     Config(config::Config),
+    /// Starts, checks, drains and stops instances of the program, and answers the commands below `fleet`
+    Agent {
+        /// The agent's settings, an HCL file
+        #[arg(long, value_name = "FILE", default_value = doorgrade_agent::serve::USUAL)]
+        file: PathBuf,
+    },
+    /// Orders for instances, and how they stand; asks the agent whose settings are named
+    Fleet(fleet::Fleet),
     /// Makes authorities, certificates and seal keys, and shows when they end
     #[command(subcommand)]
     Keys(keys::Keys),
@@ -153,6 +162,12 @@
             doorgrade_control::serve::serve(settings).map(|()| End::Done)
         }
         Some(Command::Config(command)) => config::run(command, settings),
+        Some(Command::Agent { file }) => {
+            let settings = doorgrade_agent::serve::Settings::load(&file)?;
+            doorgrade_log::start(doorgrade_log::LevelFilter::INFO, doorgrade_log::Format::Human);
+            doorgrade_agent::serve::serve(settings).map(|()| End::Done)
+        }
+        Some(Command::Fleet(command)) => fleet::run(command),
         Some(Command::Keys(command)) => keys::run(command),
         Some(Command::Completions { shell }) => {
             let mut out = Vec::new();
--- /dev/null
+++ b/crates/cli/tests/fleet.rs
@@ -0,0 +1,225 @@
+//! The agent, real instances and the commands, as processes on loopback.
+
+mod helper;
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+
+use doorgrade_agent::process::{find, signal};
+use doorgrade_standins::{Client, Directory, Feed, Member, Role, Spec};
+use helper::until;
+use rustix::process::Signal;
+use serde_json::Value;
+
+const FRONTS: usize = 6;
+
+struct Rig {
+    folder: PathBuf,
+    name: String,
+    at: Vec<SocketAddr>,
+    agent: Option<Child>,
+    _members: [Member; 2],
+    _feed: Feed,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.kill_agent();
+        // Instances outlive their agent: whatever this test left is ended.
+        find(&self.name).into_iter().for_each(|f| drop(signal(f.2, Signal::KILL)));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Rig {
+    fn new(name: &str) -> Rig {
+        let name = format!("{name}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(format!("doorgrade-{name}"));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let directory = Directory::default();
+        let member = |id, role| Member::start(Spec::new(id, "127.0.0.1:0", role), &directory).unwrap();
+        let (cache, origin) = (member("s-00000001", Role::Cache), member("s-00000020", Role::Archive));
+        let feed = Feed::start("127.0.0.1:0").unwrap();
+        let mut config = include_str!("../../../examples/config.json").to_owned();
+        for (from, to) in [("9101", cache.at), ("9102", cache.at), ("9120", origin.at), ("9092", feed.at)] {
+            config = config.replace(&format!("127.0.0.1:{from}"), &to.to_string());
+        }
+        std::fs::write(folder.join("config.json"), config).unwrap();
+        // All at once, so that none is given twice.
+        let held: Vec<TcpListener> = (0..FRONTS).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        let at: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
+        drop(held);
+        let mut text = format!(
+            "agent {{\n  name = \"{name}\"\n  program = \"{}\"\n  journal = \"agent.redb\"\n  socket = \"agent.sock\"\n  \
+             logs = \"logs\"\n}}\npace {{\n  cold = 2\n  cold_for_ms = 100\n  drain_for_ms = 300\n  down = 0.34\n}}\n",
+            env!("CARGO_BIN_EXE_doorgrade")
+        );
+        for (n, at) in at.iter().enumerate() {
+            let station = ["hill", "harbour"][n % 2];
+            text += &format!(
+                "instance \"n{n}\" {{\n  station = \"{station}\"\n  listen = \"{at}\"\n  config = \"config.json\"\n}}\n"
+            );
+        }
+        std::fs::write(folder.join("agent.hcl"), text).unwrap();
+        let mut rig = Rig { folder, name, at, agent: None, _members: [cache, origin], _feed: feed };
+        rig.start_agent();
+        rig
+    }
+
+    fn agent_command(&self) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
+        command.arg("agent").arg("--file").arg(self.folder.join("agent.hcl")).stderr(Stdio::null());
+        command
+    }
+
+    fn start_agent(&mut self) {
+        self.agent = Some(self.agent_command().spawn().unwrap());
+        until("the agent answers", || self.fleet(&["status", "--json"]).status.success());
+    }
+
+    fn kill_agent(&mut self) {
+        if let Some(mut agent) = self.agent.take() {
+            let _ = agent.kill();
+            let _ = agent.wait();
+        }
+    }
+
+    fn fleet(&self, args: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
+        command.arg("fleet").args(args).arg("--file").arg(self.folder.join("agent.hcl")).output().unwrap()
+    }
+
+    fn done(&self, args: &[&str]) {
+        let output = self.fleet(args);
+        assert!(output.status.success(), "{args:?}: {output:?}");
+    }
+
+    fn rows(&self) -> Vec<Value> {
+        let output = self.fleet(&["status", "--json"]);
+        let told: Value = serde_json::from_slice(&output.stdout).unwrap();
+        told["instances"].as_array().unwrap().clone()
+    }
+
+    fn states(&self) -> Vec<String> {
+        self.rows().iter().map(|r| r["state"].as_str().unwrap().to_owned()).collect()
+    }
+}
+
+/// Clients as the platform has them: they go where `/check` says ready, and notice what does not within 50 ms.
+fn traffic(
+    at: Vec<SocketAddr>,
+    stop: Arc<AtomicBool>,
+    counts: Arc<[AtomicU64; 3]>,
+) -> std::thread::JoinHandle<()> {
+    std::thread::spawn(move || {
+        let mut n = 0;
+        while !stop.load(SeqCst) {
+            n += 1;
+            let ready = |at: &SocketAddr| Client::connect(*at).and_then(|mut c| c.check()).unwrap_or(false);
+            let Some(mut client) =
+                Some(at[n % at.len()]).filter(ready).and_then(|at| Client::connect(at).ok())
+            else {
+                continue;
+            };
+            for key in 0..5 {
+                counts[0].fetch_add(1, SeqCst);
+                match client.ask("images", &format!("{key:016x}"), 2_000) {
+                    Ok((head, _)) if head.starts_with("Status: 200") => {}
+                    Ok(_) => drop(counts[1].fetch_add(1, SeqCst)),
+                    Err(_) => {
+                        counts[2].fetch_add(1, SeqCst);
+                        break;
+                    }
+                }
+                if client.spoke_unasked() {
+                    counts[1].fetch_add(1, SeqCst);
+                }
+            }
+        }
+    })
+}
+
+#[test]
+fn an_agent_killed_in_a_drain_is_followed_by_another_and_nothing_is_lost_or_done_twice() {
+    let mut rig = Rig::new("drain");
+    rig.done(&["start", "--all"]);
+    assert_eq!(rig.states(), ["ready"; FRONTS]);
+    let before: Vec<Value> = rig.rows().iter().map(|r| r["process"].clone()).collect();
+    let (stop, counts) = (Arc::new(AtomicBool::new(false)), Arc::new([const { AtomicU64::new(0) }; 3]));
+    let busy: Vec<_> = (0..3).map(|_| traffic(rig.at.clone(), stop.clone(), counts.clone())).collect();
+    // One agent at a time: another does not even begin.
+    assert!(!rig.agent_command().status().unwrap().success());
+
+    // The agent dies as soon as it has taken the order; the next one finds all six as its own, and goes on.
+    rig.done(&["drain", "n1", "--no-wait"]);
+    rig.kill_agent();
+    rig.start_agent();
+    until("the drain goes on", || rig.states()[1] == "draining");
+    until("the others are taken over", || {
+        rig.states().iter().filter(|s| *s == "ready").count() == FRONTS - 1
+    });
+    assert_eq!(
+        rig.rows().iter().map(|r| r["process"].clone()).collect::<Vec<_>>(),
+        before,
+        "none was started anew"
+    );
+    rig.done(&["stop", "n1"]);
+    rig.kill_agent();
+    rig.start_agent();
+    until("it stays stopped", || rig.states()[1] == "stopped");
+    // A rolling restart, under the same traffic.
+    rig.done(&["restart", "--station", "hill"]);
+    rig.done(&["start", "n1"]);
+    stop.store(true, SeqCst);
+    busy.into_iter().for_each(|b| b.join().unwrap());
+    let [asked, wrong, lost] = [0, 1, 2].map(|n| counts[n].load(SeqCst));
+    assert!(asked > 100, "{asked}");
+    assert_eq!((wrong, lost), (0, 0), "of {asked}");
+    // The last that serves in a station is not taken, but by the station's name.
+    let refused = rig.fleet(&["stop", "--station", "hill"]);
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(
+        String::from_utf8_lossy(&refused.stderr).contains("station 'hill' would be left without"),
+        "{refused:?}"
+    );
+    rig.done(&["stop", "--all", "--force", "hill", "--force", "harbour"]);
+    assert_eq!(find(&rig.name), []);
+}
+
+#[test]
+fn half_of_them_die_at_once_and_one_command_brings_them_back() {
+    let rig = Rig::new("restore");
+    rig.done(&["start", "--all"]);
+    // One whose port is taken by somebody else comes to nothing, and is set aside without holding up the others.
+    let victims: Vec<_> =
+        find(&rig.name).into_iter().filter(|f| ["n0", "n1", "n2"].contains(&&*f.0)).collect();
+    assert_eq!(victims.len(), 3);
+    victims.iter().for_each(|v| signal(v.2, Signal::KILL).unwrap());
+    let taken = loop {
+        if let Ok(listener) = TcpListener::bind(rig.at[2]) {
+            break listener;
+        }
+    };
+    let plan = rig.fleet(&["restore", "--all", "--dry-run", "--json"]);
+    assert!(plan.status.success(), "{plan:?}");
+    let failed = rig.fleet(&["restore", "--all", "--json", "--within", "60"]);
+    assert_eq!(failed.status.code(), Some(3), "{failed:?}");
+    let told: Value = serde_json::from_slice(&failed.stdout).unwrap();
+    assert_eq!((&told["done"], &told["failed"][0]), (&5.into(), &"n2".into()), "{told}");
+    assert_eq!(rig.fleet(&["check", "--all"]).status.code(), Some(3));
+    let log = std::fs::read_to_string(rig.folder.join("logs/n2.log")).unwrap();
+    assert!(log.contains("key 'listen'") || log.contains("listen"), "{log}");
+    drop(taken);
+    rig.done(&["start", "n2"]);
+    assert_eq!(rig.fleet(&["check", "--all"]).status.code(), Some(0));
+    let runs: Vec<u64> = rig.rows().iter().map(|r| r["run"].as_u64().unwrap()).collect();
+    assert_eq!((runs[0], runs[3]), (2, 1));
+    let history = rig.fleet(&["history", "--json"]);
+    let orders: Value = serde_json::from_slice(&history.stdout).unwrap();
+    assert_eq!(orders["orders"].as_array().unwrap().len(), 3);
+    rig.done(&["stop", "--all", "--force", "hill", "--force", "harbour"]);
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -45,6 +45,7 @@
         process: Process,
         kill: bool,
     },
+    /// Call [`Fleet::due`] then; what was asked for before is not needed any more.
     Wake(Tenths),
     Tell(Line),
 }
--- a/crates/fleet/src/fleet/orders.rs
+++ b/crates/fleet/src/fleet/orders.rs
@@ -21,7 +21,7 @@
             own.kept.revision += u64::from(changes);
             (own.kept.by, own.kept.order) = (order.by.clone(), number);
             own.kept.want = want;
-            own.renew = order.what == What::Restart && own.phase.lives() && own.phase != Phase::Stopping;
+            own.kept.renew = order.what == What::Restart && own.phase.lives() && own.phase != Phase::Stopping;
             if want == Want::Running {
                 // A person has said so: patience begins anew.
                 (own.kept.failures, own.kept.set_aside, own.start_at) = (0, false, self.now);
@@ -133,7 +133,8 @@
             let other = &mut self.instances[target];
             // What has not been told to drain yet stays as it is.
             if other.kept.order == number && matches!(other.phase, Phase::Ready | Phase::Starting) {
-                other.renew = false;
+                other.kept.renew = false;
+                self.keep(target, out);
             }
         }
     }
--- a/crates/fleet/src/fleet/steps.rs
+++ b/crates/fleet/src/fleet/steps.rs
@@ -2,7 +2,7 @@
 
 use super::{Do, Fleet, LOOK_AGAIN, Line};
 use crate::Tenths;
-use crate::life::{CHECK_EACH, KILL_AFTER, Phase, START_WITHIN, Step, Want};
+use crate::life::{CHECK_EACH, CHECK_START_EACH, KILL_AFTER, Phase, START_WITHIN, Step, Want};
 use crate::pace::most_down;
 
 impl Fleet {
@@ -25,7 +25,7 @@
     /// It is to be taken away from its clients, and has not begun.
     fn waits_to_go(&self, place: usize) -> bool {
         let own = &self.instances[place];
-        own.phase == Phase::Ready && (own.renew || own.kept.want != Want::Running)
+        own.phase == Phase::Ready && (own.kept.renew || own.kept.want != Want::Running)
     }
 
     /// So many of its station are on their way down or back by orders.
@@ -77,12 +77,17 @@
             }
             return self.wake(place, now + LOOK_AGAIN);
         };
-        let goes = own.renew || own.kept.want == Want::Stopped;
+        let goes = own.kept.renew || own.kept.want == Want::Stopped;
         match own.phase {
             Phase::Starting if own.kept.want == Want::Stopped || now >= since + START_WITHIN => {
                 self.term(place, out)
             }
             Phase::Lost => self.term(place, out),
+            // It still tells its clients to go elsewhere, by the word of an agent before this one.
+            Phase::Starting if own.drained => {
+                out.push(Do::Drain { name: name.clone(), process, on: false });
+                self.instances[place].drained = false;
+            }
             Phase::Ready if (goes || own.kept.want == Want::Drained) && self.room_to_go(own.station) => {
                 out.push(Do::Drain { name: name.clone(), process, on: true });
                 self.instances[place].drained = false;
@@ -119,7 +124,7 @@
         let own = &mut self.instances[place];
         let looks = matches!(own.phase, Phase::Starting | Phase::Ready | Phase::Draining | Phase::Lost);
         if looks && now >= own.next_check {
-            own.next_check = now + CHECK_EACH;
+            own.next_check = now + if own.phase == Phase::Starting { CHECK_START_EACH } else { CHECK_EACH };
             out.push(Do::Check { name: name.into(), run });
         }
         let at: Tenths = match own.phase {
@@ -133,7 +138,7 @@
     fn term(&mut self, place: usize, out: &mut Vec<Do>) {
         let own = &mut self.instances[place];
         let Some(process) = own.kept.process else { return };
-        own.at_fault = own.kept.want != Want::Stopped && !own.renew;
+        own.at_fault = own.kept.want != Want::Stopped && !own.kept.renew;
         own.kept.step = Some(Step::Term);
         own.kill_at = self.now + KILL_AFTER;
         self.keep(place, out);
@@ -211,7 +216,7 @@
         let own = &mut self.instances[place];
         own.kept.run += 1;
         (own.kept.process, own.kept.step, own.kept.ended) = (None, Some(Step::Start), None);
-        (own.was_ready, own.renew, own.drained, own.ready_at) = (false, false, false, None);
+        (own.was_ready, own.kept.renew, own.drained, own.ready_at) = (false, false, false, None);
         (own.answered_at, own.next_check) = (now, now);
         own.to(now, Phase::Starting);
         let (name, run) = (own.name.clone(), own.kept.run);
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -135,6 +135,8 @@
     /// Starts in a row that came to nothing.
     pub failures: u32,
     pub set_aside: bool,
+    /// It is to be started anew once it has ended, though it is wanted running all the time.
+    pub renew: bool,
 }
 
 /// An instance, kept and seen.
@@ -160,8 +162,6 @@
     pub next_check: Tenths,
     /// It was ready in this run.
     pub was_ready: bool,
-    /// It is to be started anew once it has ended, though it is wanted running all the time.
-    pub renew: bool,
     /// It is being stopped since it did not do what it should.
     pub at_fault: bool,
     /// When to ask about it next.
@@ -176,8 +176,9 @@
 pub const KILL_AFTER: Tenths = 15 * SECOND;
 /// Ready for so long, a start has come to something.
 pub const PROVEN: Tenths = 30 * SECOND;
-/// How often the door is looked at.
+/// How often the door is looked at; and of one that starts, since whoever waits for it waits for that.
 pub const CHECK_EACH: Tenths = SECOND;
+pub const CHECK_START_EACH: Tenths = SECOND / 5;
 
 impl Instance {
     pub fn new(name: &str, station: usize, now: Tenths, kept: Kept) -> Instance {
@@ -202,7 +203,6 @@
             looking: false,
             next_check: now,
             was_ready: false,
-            renew: false,
             at_fault: false,
             wakes: 0,
         }
@@ -223,7 +223,7 @@
     pub fn settled(&self) -> bool {
         match self.kept.want {
             Want::Stopped => !self.phase.lives(),
-            Want::Running => self.phase == Phase::Ready && !self.renew,
+            Want::Running => self.phase == Phase::Ready && !self.kept.renew,
             Want::Drained => !self.phase.lives() || self.phase == Phase::Draining && self.drained,
         }
     }
@@ -242,6 +242,12 @@
             (Phase::Draining, Check::NotReady) => self.drained = true,
             // Told to drain, and not heeding it yet.
             (Phase::Draining, Check::Ready) => self.drained = false,
+            // Found so by an agent that came after the one that told it; if it is not wanted so, it is told otherwise.
+            (Phase::Starting, Check::NotReady) if self.kept.renew || self.kept.want != Want::Running => {
+                self.drained = true;
+                self.to(now, Phase::Draining);
+            }
+            (Phase::Starting, Check::NotReady) => self.drained = true,
             // It says so by itself: somebody else has told it to stop, or it is not ready yet.
             (Phase::Ready, Check::NotReady) => self.to(now, Phase::Starting),
             (Phase::Ready | Phase::Draining, Check::Silent) if now >= self.answered_at + SILENT_FOR => {
--- a/crates/fleet/tests/world.rs
+++ b/crates/fleet/tests/world.rs
@@ -43,7 +43,7 @@
     Found(Box<str>),
     Checked(Box<str>, Run),
     Exited(Box<str>, Process, Exit),
-    Due,
+    Due(u32),
     Ends(Process),
 }
 
@@ -65,6 +65,7 @@
     /// The agent dies before it does this effect, counted from its first.
     dies_at: Option<u32>,
     done: u32,
+    wake: u32,
     full: bool,
     lines: Vec<Line>,
     terms: BTreeMap<Process, u32>,
@@ -91,6 +92,7 @@
             next_pid: 100,
             dies_at: None,
             done: 0,
+            wake: 0,
             full: false,
             lines: Vec::new(),
             terms: BTreeMap::new(),
@@ -150,7 +152,11 @@
                     }
                 }
                 Do::Signal { name, process, kill } => self.signal(&name, process, kill, lag),
-                Do::Wake(at) => self.at(at.saturating_sub(self.now), Event::Due),
+                Do::Wake(at) => {
+                    // As in the shell: the last one counts.
+                    self.wake += 1;
+                    self.at(at.saturating_sub(self.now), Event::Due(self.wake));
+                }
                 Do::Tell(line) => self.lines.push(line),
             }
         }
@@ -248,7 +254,8 @@
             Event::Exited(name, process, exit) => {
                 self.on(|f, now, out| f.exited(now, &name, process, exit, out))
             }
-            Event::Due => self.on(|f, now, out| f.due(now, out)),
+            Event::Due(wake) if wake == self.wake => self.on(|f, now, out| f.due(now, out)),
+            Event::Due(_) => {}
             Event::Ends(_) => {}
         }
         self.look();
@@ -471,6 +478,40 @@
     }
 }
 
+#[test]
+fn another_agent_goes_on_with_a_drain_and_a_restart_and_takes_back_what_was_taken_back() {
+    let mut w = up(1, 3);
+    w.order(What::Drain, &["i0"]).unwrap();
+    w.until("it drains", 60 * SECOND, |w| w.phases(Phase::Draining) == 1);
+    // The next agent finds it draining; nobody told it to go on serving.
+    w.fleet = None;
+    w.agent();
+    w.until("it is known to drain", 20 * SECOND, |w| {
+        w.phases(Phase::Draining) == 1 && w.phases(Phase::Ready) == 2
+    });
+    w.pass(60 * SECOND);
+    assert_eq!(
+        w.fleet.as_ref().unwrap().instance("i0").unwrap().kept.run,
+        1,
+        "it was not taken for one that does not start"
+    );
+    // Taken back, and the agent dies before it can tell the instance.
+    w.dies_at = Some(w.done + 2);
+    let _ = w.order(What::Start, &["i0"]);
+    assert!(w.fleet.is_none());
+    w.dies_at = None;
+    w.agent();
+    w.until("it serves again", 30 * SECOND, |w| w.phases(Phase::Ready) == 3);
+    // A restart under way goes on, too.
+    w.order_all(What::Restart);
+    w.until("the first goes", 60 * SECOND, |w| w.phases(Phase::Draining) == 1);
+    w.fleet = None;
+    w.agent();
+    w.until("all were restarted", 200 * SECOND, |w| {
+        w.fleet.as_ref().unwrap().instances().all(|i| i.1.kept.run == 2 && i.1.phase == Phase::Ready)
+    });
+}
+
 #[test]
 fn a_journal_that_cannot_be_written_stops_orders_and_nothing_else() {
     let mut w = up(1, 3);
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -29,6 +29,8 @@
     Closed(ConnId),
     /// The operators' word to stop.
     Stop,
+    /// Their word that clients are to go elsewhere, or need not any more.
+    Drain(bool),
     /// Their word to take the configuration that has replaced the one in use.
     Reload(Box<Renewal>),
     /// The same of a version, and where to say that it was taken.
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -54,6 +54,8 @@
     /// Time has passed.
     Tick,
     Stop,
+    /// Clients are told to go elsewhere, or not any more; all that they ask is still taken.
+    Drain(bool),
     Reload(Box<Renewal>),
 }
 
@@ -146,6 +148,8 @@
     feed_at: SocketAddr,
     now: Tenths,
     phase: Phase,
+    /// `/check` says that it is not ready, though it serves: operators want clients to go elsewhere.
+    drains: bool,
     timers: Timers<Timer>,
     effects: Vec<Effect>,
     clients: FxHashMap<ConnId, Client>,
@@ -196,6 +200,7 @@
                 feed_at: feed,
                 now,
                 phase: Phase::new(),
+                drains: false,
                 timers: Timers::default(),
                 effects: Vec::new(),
                 clients: FxHashMap::default(),
@@ -285,6 +290,14 @@
             Input::Closed(conn) => self.work.closed(conn),
             Input::Tick => {}
             Input::Reload(renewal) => self.work.reload(&renewal),
+            Input::Drain(on) => {
+                if std::mem::replace(&mut self.work.drains, on) != on {
+                    tracing::info!(
+                        "{}",
+                        if on { "clients are told to go elsewhere" } else { "clients are welcome again" }
+                    );
+                }
+            }
             Input::Stop => {
                 let Work { phase, timers, now, longest, .. } = &mut self.work;
                 for at in phase.leave(*now, *longest).into_iter().flatten() {
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -86,7 +86,7 @@
         match said {
             Said::Ask(id, request) => self.take(conn, id, request, at),
             Said::Check(id) => {
-                let status = if work.phase.serving() { 200 } else { 503 };
+                let status = if work.phase.serving() && !work.drains { 200 } else { 503 };
                 work.reply(conn, id, Reply::bare(status));
             }
             Said::Unusable(id, status, why) => {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -10,7 +10,7 @@
 use doorgrade_log::{Format, LevelFilter};
 use doorgrade_operator::{Version, files, settings};
 use rustc_hash::FxHashMap;
-use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use tokio::sync::oneshot;
 
 use crate::accept;
@@ -141,8 +141,9 @@
 /// crate's iterator would hold a pair of Unix sockets, and this program is to have none while it serves.
 fn heed_signals(in_use: Shared) -> std::io::Result<()> {
     let (mut heard, told) = std::io::pipe()?;
-    let (stop, renew) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    for (signal, flag) in [(SIGTERM, &stop), (SIGHUP, &renew)] {
+    let flag = || Arc::new(AtomicBool::new(false));
+    let (stop, renew, drain, back) = (flag(), flag(), flag(), flag());
+    for (signal, flag) in [(SIGTERM, &stop), (SIGHUP, &renew), (SIGUSR1, &drain), (SIGUSR2, &back)] {
         // In this order: whoever is woken finds the flag set.
         signal_hook::flag::register(signal, flag.clone())?;
         signal_hook::low_level::pipe::register(signal, told.try_clone()?)?;
@@ -159,6 +160,11 @@
                     if stop.swap(false, Ordering::SeqCst) {
                         in_use.send(Event::Stop);
                     }
+                    for (flag, on) in [(&drain, true), (&back, false)] {
+                        if flag.swap(false, Ordering::SeqCst) {
+                            in_use.send(Event::Drain(on));
+                        }
+                    }
                     if renew.swap(false, Ordering::SeqCst) {
                         in_use.reload();
                     }
@@ -226,6 +232,7 @@
             Event::Wrote { conn, ring, failed } => Input::Wrote { conn, ring, failed },
             Event::Closed(conn) => Input::Closed(conn),
             Event::Stop => Input::Stop,
+            Event::Drain(on) => Input::Drain(on),
             Event::Reload(renewal) => {
                 doorgrade_log::set_level(renewal.log);
                 Input::Reload(renewal)
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,6 +5,7 @@
 //! HCL comes from `hcl-edit`, which keeps the place of each value; `strsim` finds the nearest key.
 #![forbid(unsafe_code)]
 
+pub mod agent;
 pub mod control;
 mod doc;
 pub mod files;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -28,6 +28,8 @@
     SetAside(PathBuf, Box<str>),
     /// One record is not what was written; it counts as not there.
     Damaged(Box<str>),
+    /// Another process has it open; it is left alone.
+    InUse,
     /// It could not be read or written.
     Failed(Box<str>),
 }
@@ -41,6 +43,7 @@
             Trouble::Damaged(key) => {
                 write!(f, "the store's record '{key}' is not what was written: left out")
             }
+            Trouble::InUse => f.write_str("the store is open in another process"),
             Trouble::Failed(why) => write!(f, "the store: {why}"),
         }
     }
@@ -104,11 +107,17 @@
                 let mut options = std::fs::OpenOptions::new();
                 let file = options.read(true).write(true).create(true).truncate(false).open(path);
                 let file = file.map_err(failed)?;
-                Records::on(redb::backends::FileBackend::new(file).map_err(failed)?)
+                let locked = redb::backends::FileBackend::new(file).map_err(|e| match e {
+                    redb::DatabaseError::DatabaseAlreadyOpen => Trouble::InUse,
+                    e => failed(e),
+                });
+                Records::on(locked?)
             })
         };
         let why = match open() {
             Ok(records) => return Ok((records, None)),
+            // Whoever has it would go on in a file that is set aside.
+            Err(Trouble::InUse) => return Err(Trouble::InUse),
             Err(why) => why,
         };
         let aside = (1..100).map(|n| path.with_extension(format!("damaged-{n}"))).find(|p| !p.exists());
--- a/crates/store/tests/crashes.rs
+++ b/crates/store/tests/crashes.rs
@@ -231,3 +231,18 @@
     let (found, _) = store.load();
     assert_eq!((found.epoch, found.versions), (8, vec![version(8, 1)]));
 }
+
+#[test]
+fn a_store_that_is_open_elsewhere_is_left_alone() {
+    let path = std::env::temp_dir().join(format!("doorgrade-{}-in-use.redb", std::process::id()));
+    let (first, _) = Records::open(&path).unwrap();
+    first.write(&[("a", vec![1])], &[]).unwrap();
+    // Not set aside: it is neither damaged nor anybody else's to move.
+    assert!(matches!(Records::open(&path), Err(Trouble::InUse)));
+    assert_eq!(first.read("a").unwrap(), Some(vec![1]));
+    drop(first);
+    let (again, trouble) = Records::open(&path).unwrap();
+    assert_eq!((again.read("a").unwrap(), trouble), (Some(vec![1]), None));
+    drop(again);
+    std::fs::remove_file(&path).unwrap();
+}
