--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -266,6 +266,7 @@
         let note = match (r.set_aside, r.failures) {
             (true, failures) => format!("set aside, {failures} starts came to nothing"),
             (_, 0) => String::new(),
+            (_, 1) => "died".into(),
             (_, failures) => format!("died {failures} times in a row"),
         };
         let (state, want) = (r.phase.to_string(), r.want.to_string());
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod config;
+mod fleet;
 mod log;
 mod rig;
 mod shape;
@@ -71,6 +72,14 @@
         #[arg(long)]
         virtual_only: bool,
     },
+    /// Twenty instances under an agent that is killed, nine of them killed at once; the decisions alone in virtual time
+    Fleet {
+        #[command(flatten)]
+        how: How,
+        /// The program to measure; the one beside this by default
+        #[arg(long)]
+        front: Option<std::path::PathBuf>,
+    },
     /// A front's memory over as many accesses as 45 minutes bring, with caches, objects and clients always new
     Soak {
         #[command(flatten)]
@@ -123,6 +132,7 @@
             }
             (how.clone(), figures)
         }
+        Subject::Fleet { how, front } => (how.clone(), fleet::run(&how, front)),
         Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -33,6 +33,10 @@
         Ok(Folder(path))
     }
 
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+
     pub fn put(&self, name: &str, text: &str) -> Result<PathBuf, String> {
         let path = self.0.join(name);
         // In one step: a front may read it at any moment.
