An order's end is looked for no further than its first undone instance

Change: it stops at the first that is not done, and looks at nothing once the order is over. An arm of the service's ask lost a dead binding.

--- a/crates/fleet/src/fleet/orders.rs
+++ b/crates/fleet/src/fleet/orders.rs
@@ -139,14 +139,18 @@
         }
     }
 
-    /// Tells the orders that an instance's last step has brought to their end.
+    /// Tells the order that an instance's last step has brought to its end. Called after each input: it looks no further
+    /// than the first that is not done.
     pub(super) fn tell_done(&mut self, place: usize, out: &mut Vec<Do>) {
         let number = self.instances[place].kept.order;
-        let Some(what) = self.orders.get(&number).map(|o| o.what) else { return };
-        if self.progress(number).is_some_and(|p| !p.halted && p.done == p.of && p.of > 0)
-            && let Some(open) = self.orders.get_mut(&number)
-            && !std::mem::replace(&mut open.over, true)
-        {
+        let Some(open) = self.orders.get(&number).filter(|o| !o.over && o.halted.is_none()) else { return };
+        let done = |&t: &usize| {
+            let own = &self.instances[t];
+            own.kept.order == number && !own.kept.set_aside && own.settled()
+        };
+        let what = open.what;
+        if open.targets.iter().all(done) {
+            self.orders.entry(number).and_modify(|o| o.over = true);
             out.push(Do::Tell(Line::Done { number, what }));
         }
     }
--- a/crates/versions/src/service/ask.rs
+++ b/crates/versions/src/service/ask.rs
@@ -251,8 +251,7 @@
                 let note: String = note.chars().take(MOST_NOTE).collect();
                 published(self.publish(now, content, &note, expects, out))
             }
-            Ask::RollBack { to, expects } if expects != self.last() => {
-                let _ = to;
+            Ask::RollBack { expects, .. } if expects != self.last() => {
                 Answer::NotPublished(NotPublished::Expected { last: self.last() })
             }
             Ask::RollBack { to, .. } => published(self.roll_back(now, to, out)),
