Stand-in caches renew only in the last fifth of a copy's fresh time, one at a time

Cause: the stand-in renewed whenever it was asked, and each access that asked began one more fill; the protocol's page lets a cache renew only a copy in the last fifth of its fresh time, or past it. Ten fronts that ask nearly always so drove 1,545 requests a second to the archive where a cache would have sent some 60. Its fills for renewals also took a source's copy that was itself about to end.

Change: renewal only when it is due, one under way for a copy, and what comes is not in its own last fifth; a copy older than its fresh time is no answer, whatever age was asked for. What was answered, and how, is kept with its time. A class with no fresh time is never renewed.

--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -4,7 +4,7 @@
 //! order of those it fills from; the archive knows all. What a fill has come through goes on in `CDN-Loop`, and a
 //! fill that comes round is cut with 508. A member that starts cold falls over when it is sent too much.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io::{self, BufReader};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst};
@@ -38,12 +38,14 @@
     /// What an answer takes.
     pub lag: Duration,
     pub cold: Option<Cold>,
+    /// Answers say in `Made-At` how old their copy is.
+    pub tells_made: bool,
 }
 
 impl Spec {
     pub fn new(id: &str, at: &str, role: Role) -> Spec {
-        let (keeps, lag) = (100_000, Duration::ZERO);
-        Spec { id: id.into(), at: at.into(), role, keeps, fresh_ms: HashMap::new(), lag, cold: None }
+        let (keeps, lag, fresh_ms, cold) = (100_000, Duration::ZERO, HashMap::new(), None);
+        Spec { id: id.into(), at: at.into(), role, keeps, fresh_ms, lag, cold, tells_made: true }
     }
 }
 
@@ -77,6 +79,9 @@
 pub struct Counts {
     pub asked: AtomicUsize,
     pub hits: AtomicUsize,
+    /// Requests that asked for a renewal behind the answer, and renewals made.
+    pub renewal_asked: AtomicUsize,
+    pub renewed: AtomicUsize,
     pub fills: AtomicUsize,
     pub failed: AtomicUsize,
     /// Fills cut because they had come round.
@@ -89,6 +94,18 @@
     pub too_old: AtomicUsize,
 }
 
+/// One request to a cache or trunk cache that it could answer, or had to fill first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// Milliseconds of the Unix clock.
+    pub at_ms: u64,
+    /// From what it held; else whoever asked had to wait for a fill.
+    pub hit: bool,
+    pub renewal_asked: bool,
+    /// A renewal was begun behind it.
+    pub renewed: bool,
+}
+
 #[derive(Clone)]
 struct Copy {
     bytes: Arc<Vec<u8>>,
@@ -138,6 +155,8 @@
     dead: AtomicBool,
     faults: Mutex<Faults>,
     shelf: Mutex<Shelf>,
+    /// Copies that are renewed behind an answer just now.
+    renewing: Mutex<HashSet<String>>,
     fills_from: Mutex<Vec<String>>,
     /// Calls under way here, and how often each.
     calls: Mutex<HashMap<String, usize>>,
@@ -145,6 +164,7 @@
     came: Mutex<VecDeque<Instant>>,
     /// When each request came, and its path.
     asked_at: Mutex<Vec<(u64, String)>>,
+    answered: Mutex<Vec<Answered>>,
     lines: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
     open: Mutex<Vec<TcpStream>>,
     /// At the archive: how often each access came, by class and id.
@@ -174,10 +194,12 @@
             dead: AtomicBool::new(false),
             faults: Mutex::default(),
             shelf: Mutex::default(),
+            renewing: Mutex::default(),
             fills_from: Mutex::default(),
             calls: Mutex::default(),
             came: Mutex::default(),
             asked_at: Mutex::default(),
+            answered: Mutex::default(),
             lines: Mutex::default(),
             open: Mutex::default(),
             ran: Mutex::default(),
@@ -226,6 +248,10 @@
         lock(&self.inner.asked_at).clone()
     }
 
+    pub fn answered(&self) -> Vec<Answered> {
+        lock(&self.inner.answered).clone()
+    }
+
     /// Hangs a trunk cache under these.
     pub fn hang(&self, fills_from: &[&str]) {
         *lock(&self.inner.fills_from) = fills_from.iter().map(|&s| s.to_owned()).collect();
@@ -359,7 +385,11 @@
                 if most > 0 && age > most + 50 && detail != "s" {
                     self.counts.too_old.fetch_add(1, SeqCst);
                 }
-                let (tag, made_at) = (format!("t{}", copy.made_at), copy.made_at.to_string());
+                let (tag, mut made_at) = (format!("t{}", copy.made_at), copy.made_at.to_string());
+                // Between members it is always told: copies keep their age.
+                if !self.spec.tells_made && self.spec.role == Role::Cache {
+                    made_at.clear();
+                }
                 let fields = [("Detail", detail), ("Tag", &tag), ("Made-At", &made_at)];
                 wire::write(stream, "HTTP/1.1 200 OK", &fields, &copy.bytes)
             }
@@ -376,7 +406,7 @@
     }
 
     fn look(self: &Arc<Self>, head: &Head) -> Had {
-        let path = &head.path;
+        let (path, renewal_asked) = (&head.path, head.handling("revalidate"));
         if self.spec.role == Role::Archive {
             self.counts.fills.fetch_add(1, SeqCst);
             let class = path.split('/').nth(2).unwrap_or("").to_owned();
@@ -385,26 +415,48 @@
             return Had::Copy(Copy { bytes: Arc::new(object(path)), made_at: unix_ms() }, "o");
         }
         let fresh = path.split('/').nth(2).and_then(|class| self.spec.fresh_ms.get(class)).copied();
-        let most = match (head.number("no-older-than"), fresh) {
-            (0, fresh) => fresh.unwrap_or(u64::MAX),
-            (asked, _) => asked,
+        let most = match head.number("no-older-than") {
+            0 => fresh.unwrap_or(u64::MAX),
+            asked => asked.min(fresh.unwrap_or(u64::MAX)),
         };
         let kept = lock(&self.shelf).get(path);
         if let Some(copy) = kept.filter(|c| unix_ms().saturating_sub(c.made_at) <= most) {
             self.counts.hits.fetch_add(1, SeqCst);
-            if head.handling("revalidate") {
-                // Behind the answer; whoever asked does not wait for it.
-                let (inner, head) = (self.clone(), head.clone());
-                std::thread::spawn(move || drop(inner.fill(&head)));
+            let mut renewed = false;
+            if renewal_asked {
+                self.counts.renewal_asked.fetch_add(1, SeqCst);
+                renewed = fresh.is_some_and(|fresh| self.renew(head, fresh, copy.made_at));
             }
+            lock(&self.answered).push(Answered { at_ms: unix_ms(), hit: true, renewal_asked, renewed });
             return Had::Copy(copy, "h");
         }
         if head.field("cache-control") == Some("only-if-cached") {
             return Had::Lacks;
         }
+        let answered = Answered { at_ms: unix_ms(), hit: false, renewal_asked, renewed: false };
+        lock(&self.answered).push(answered);
         self.fill(head)
     }
 
+    /// Fetches a copy anew behind an answer, for which nobody waits: only in the last fifth of its fresh time, as the
+    /// protocol's page has it, and one at a time. What comes is not to be in its own last fifth.
+    fn renew(self: &Arc<Self>, head: &Head, fresh: u64, made_at: u64) -> bool {
+        let due = unix_ms() >= made_at + fresh - fresh / 5;
+        if !due || !lock(&self.renewing).insert(head.path.clone()) {
+            return false;
+        }
+        self.counts.renewed.fetch_add(1, SeqCst);
+        let (inner, mut head) = (self.clone(), head.clone());
+        let most = head.number("no-older-than");
+        let most = if most == 0 { fresh - fresh / 5 } else { most.min(fresh - fresh / 5) };
+        head.fields.insert("no-older-than".into(), most.to_string());
+        std::thread::spawn(move || {
+            inner.fill(&head);
+            lock(&inner.renewing).remove(&head.path);
+        });
+        true
+    }
+
     /// From whom a miss is filled.
     fn source(&self, head: &Head) -> Option<String> {
         if let Some(named) = head.field("miss-to") {
