Each answer's age (Made-At) sets the estimate: restarted fronts know it at once

Need: a restarted front took every copy for young, so renewals stopped for a fresh time; and with ten fronts each knew only the fills that it saw itself, so nearly every access asked for a renewal. Every answer says when the origin gave out its copy, and the front read the field and did nothing with it.

Change: the time goes to the module with the push's end (`Ended::made`) and restarts the remembered fill; later than now, or older than what was asked for, by more than the threshold's width counts as untold.

Three of the new tests fail without the cure (checked).

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -161,6 +161,7 @@
                 settled: line.flag("settled")?,
                 lag: line.time_down("lag")?,
                 note: words::note(line.whole_or("info", 0)?)?,
+                made: None, // this wire does not tell it
             };
             front.ended(now, line.whole("requestId")?, &ended, out);
         }
--- a/crates/front/src/push.rs
+++ b/crates/front/src/push.rs
@@ -18,12 +18,15 @@
     pub tag: Option<String>,
     pub body: Vec<u8>,
     pub ring: Option<String>,
+    /// The Unix millisecond at which the origin gave out this copy, by its own word.
+    pub made_at: Option<u64>,
 }
 
 impl Got {
     /// An end that no answer tells of.
     pub fn bare(outcome: Outcome) -> Self {
-        Got { outcome, note: Note::Untold, status: 0, tag: None, body: Vec::new(), ring: None }
+        let (tag, body, ring, made_at) = (None, Vec::new(), None, None);
+        Got { outcome, note: Note::Untold, status: 0, tag, body, ring, made_at }
     }
 }
 
@@ -172,6 +175,7 @@
             status: head.status,
             tag: head.tag,
             ring: head.ring.filter(|_| head.status == 508),
+            made_at: head.made_at,
             body: std::mem::take(&mut self.body),
         };
         Progress::Whole(got, head.closes || unsent || more)
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -342,7 +342,9 @@
                 self.work.bodies = self.work.bodies.saturating_sub(got.body.len());
             }
             let settled = self.work.accesses.get(&id).is_none_or(|t| t.done);
-            let ended = Ended { push, outcome, settled, lag, note };
+            // Bytes from outside: a number that no clock holds is no time.
+            let made = got.made_at.and_then(|ms| ms.checked_mul(10)?.checked_add(self.work.ahead));
+            let ended = Ended { push, outcome, settled, lag, note, made };
             self.work.tell_tiers(id, &ended, got.ring.as_deref());
             self.front.ended(now, id, &ended, &mut self.work);
             self.work.tidy(id);
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -196,6 +196,8 @@
     strays: Vec<u16>,
     /// The head of the last push of each access.
     pub heads: BTreeMap<u64, String>,
+    /// What caches say in `Made-At`; the present time where none is set.
+    pub made_at: Option<String>,
 }
 
 impl World {
@@ -233,6 +235,7 @@
             spoilt: BTreeSet::new(),
             strays: Vec::new(),
             heads: BTreeMap::new(),
+            made_at: None,
         };
         world.input(Input::Listening);
         world
@@ -523,7 +526,7 @@
         let mark = if marked { "Not-Begun: 1\r\n" } else { "" };
         let mut bytes = format!(
             "HTTP/1.1 {status} X\r\n{mark}Detail: {detail}\r\nTag: aa\r\nMade-At: {}\r\nContent-Length: {}\r\n\r\n",
-            self.now / 10,
+            self.made_at.clone().unwrap_or_else(|| (self.now / 10).to_string()),
             body.len()
         )
         .into_bytes();
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -77,6 +77,9 @@
                         (418, false),
                         (508, true),
                     ][w.rng.usize(..10)];
+                    let (now, max) = (w.now / 10, u64::MAX);
+                    let told = [now, now - w.rng.u64(..9_000), now + 5_000, 0, max, max / 10];
+                    w.made_at = Some(told[w.rng.usize(..6)].to_string()).filter(|_| w.rng.bool());
                     let detail = ["h", "f", "o", "r", "b", "x", "?"][w.rng.usize(..7)];
                     if w.rng.u8(..12) == 0 {
                         w.end(conn);
@@ -515,6 +518,22 @@
     assert_eq!(w.answer_of(2).map(|a| a.status), Some(200));
 }
 
+#[test]
+fn a_copys_age_is_read_from_its_answer_and_moves_with_a_clock_that_was_set_back() {
+    for back in [0, 36_000_000] {
+        let mut w = World::new(1, 128);
+        let client = w.client();
+        w.set_back(back);
+        for (call, renews) in [(1, false), (2, true)] {
+            // Fresh for 8 s, made 7 s ago by the system's clock.
+            w.made_at = Some(((w.now - back) / 10 - 7_000).to_string());
+            w.ask(client, 1, call, 0, 5, 1_000);
+            serve(&mut w);
+            assert_eq!(w.heads[&call].contains("revalidate"), renews, "access {call}, set back by {back}");
+        }
+    }
+}
+
 #[test]
 fn clients_that_vanish_give_their_descriptors_back() {
     let mut w = World::new(1, 128);
--- a/crates/hierarchy/tests/guide.rs
+++ b/crates/hierarchy/tests/guide.rs
@@ -211,7 +211,7 @@
         let settled = t.done || outcome == Outcome::Handled;
         self.handled += u32::from(outcome == Outcome::Handled && !t.done);
         t.done = settled;
-        let ended = Ended { push, outcome, settled, lag: 300, note };
+        let ended = Ended { push, outcome, settled, lag: 300, note, made: None };
         self.guide.ended(self.now, id, &ended, late, false);
         front.ended(self.now, id, &ended, self);
         self.over(id);
--- a/src/control.rs
+++ b/src/control.rs
@@ -467,11 +467,12 @@
         out.push(&Push { access: a.id, cache, source, wait, age, rank, join, renew, kept_only });
     }
 
+    /// Retrieval threshold, a share of the fresh time: the cap; caches renew only in the last fifth.
+    const BETA: f64 = 0.2;
+
     /// The design's estimate for this part: whether the zone's caches most likely lack it (not seen here for
     /// as long as copies are likely kept unused: a guess), its rank, and whether to renew it behind.
     fn remember(&mut self, now: Tenths, a: &Access) -> (bool, u8, bool) {
-        /// Retrieval threshold, a share of the fresh time: the cap; caches renew only in the last fifth.
-        const BETA: f64 = 0.2;
         /// Some minutes of distinct parts at a front; a part that was dropped is taken for just filled.
         const MOST_FILLS: usize = 1 << 16;
         let Offering { fresh, uncacheable, .. } = self.classes[a.offering].of;
@@ -486,7 +487,7 @@
                 fill.at = now;
             }
             let seen = std::mem::replace(&mut fill.seen, now);
-            return (seen + 50_000 < now, 2, fresh > 0 && (left as f64) < BETA * fresh as f64);
+            return (seen + 50_000 < now, 2, fresh > 0 && (left as f64) < Self::BETA * fresh as f64);
         }
         self.fills.shed(|count, _| count >= MOST_FILLS);
         self.fills.put(key, Fill { at: now, seen: now });
@@ -691,8 +692,15 @@
                 self.lost -= self.lost / 32.0;
                 self.late += (f64::from(u8::from(late)) - self.late) / 32.0;
                 let filled = matches!(e.note, Note::Filled | Note::FilledByOrigin);
-                if filled && let Some(fill) = self.fills.get_mut(&(a.object, a.part)) {
-                    fill.at = now;
+                // An answer says how old its copy is, whoever filled it: a restarted front learns it at once.
+                // Clocks differ: what is off by more than the threshold's width, later than now or older than
+                // what was asked for, counts as untold; less moves a renewal by as much.
+                let fresh = self.classes[a.offering].of.fresh;
+                let off = (Self::BETA * fresh as f64) as Tenths;
+                let made = e.made.filter(|&m| m <= now + off && at <= m + fresh + off).map(|m| m.min(now));
+                let known = made.or(filled.then_some(now));
+                if let Some((fill, known)) = self.fills.get_mut(&(a.object, a.part)).zip(known) {
+                    fill.at = known;
                 }
                 let class = &mut self.classes[a.offering];
                 class.patience = (class.patience * if sent.overdue { 1.02 } else { 0.999 }).clamp(0.5, 2.0);
--- a/src/face.rs
+++ b/src/face.rs
@@ -164,6 +164,8 @@
     pub settled: bool,
     pub lag: Tenths,
     pub note: Note,
+    /// When the origin gave out the copy that was answered, where that is told. Another machine's clock.
+    pub made: Option<Tenths>,
 }
 
 /// One push of an access, as it goes out.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -33,6 +33,8 @@
     pub purges: Vec<(Option<u64>, u64, Tenths)>,
     pub follows: u32,
     pub logs: u32,
+    /// How old the copy is that the next answers say they come from; none where they don't.
+    pub made_ago: Option<i64>,
 }
 
 pub fn member(id: &str, zone: usize, kind: usize) -> Member {
@@ -83,7 +85,7 @@
         let mut front = Front::new(&set, seed);
         let (now, follows) = (1_000_000, 0);
         let (list, told, timers, purges) = Default::default();
-        let mut world = World { set, now, list, told, timers, purges, follows, logs: 0 };
+        let mut world = World { set, now, list, told, timers, purges, follows, logs: 0, made_ago: None };
         world.tell(&mut front, members, true);
         (world, front)
     }
@@ -114,7 +116,8 @@
         if outcome == Outcome::Handled && told.finals == 0 {
             told.finals = 1;
         }
-        front.ended(self.now, id, &Ended { push, outcome, settled, lag, note }, self);
+        let made = self.made_ago.and_then(|ago| self.now.checked_add_signed(-ago));
+        front.ended(self.now, id, &Ended { push, outcome, settled, lag, note, made }, self);
     }
 
     pub fn purge(&mut self, front: &mut Front, object: Option<u64>, group: u64, ago: Tenths) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -134,6 +134,45 @@
     }
 }
 
+/// Accesses to one object as (wait before it, age told by its answer, whether it asks for a renewal).
+fn renewals(steps: &[(Tenths, Option<i64>, bool)]) {
+    for notes in [Notes::All, Notes::Never] {
+        let (mut world, mut front) = World::new(Settings { notes, ..settings() }, &zone(3, 2));
+        for (id, &(wait, made_ago, renew)) in steps.iter().enumerate() {
+            world.pass(&mut front, wait);
+            world.access(&mut front, id as u64, 0, 9);
+            assert_eq!(world.last(id as u64).renew, renew, "{notes:?}: access {id}");
+            world.made_ago = made_ago;
+            let note = if notes == Notes::All { Note::Hit } else { Note::Untold };
+            world.end(&mut front, id as u64, 0, Outcome::Handled, note);
+        }
+    }
+}
+
+#[test]
+fn a_restarted_front_knows_from_its_first_answer_how_old_a_copy_is() {
+    // Fresh for 8 s; others filled it 6.5 s ago.
+    renewals(&[(0, Some(65_000), false), (10, Some(65_010), true)]);
+}
+
+#[test]
+fn what_another_front_had_renewed_is_not_asked_to_be_renewed_again() {
+    renewals(&[(0, Some(0), false), (70_000, Some(1_000), true), (10, Some(1_010), false)]);
+}
+
+#[test]
+fn an_age_that_cannot_be_so_counts_as_untold() {
+    // A clock an hour ahead, and copies older than what was asked for: each would hold the estimate where it is.
+    renewals(&[
+        (0, Some(-36_000_000), false),
+        (65_000, Some(-36_000_000), true),
+        (10, Some(-36_000_000), true),
+    ]);
+    renewals(&[(0, Some(36_000_000), false), (10, Some(36_000_000), false), (64_990, None, true)]);
+    // A little off, within what the threshold bears: now at the latest.
+    renewals(&[(0, Some(-2_000), false), (63_000, None, false), (2_000, None, true)]);
+}
+
 #[test]
 fn without_notes_the_first_access_after_expiry_counts_as_the_fill() {
     let set = Settings { notes: Notes::Never, ..settings() };
