Faulty links between processes, time lines as data; the lab's return after a mass death

Need: what most fronts' death, a stall or a cut does to a fleet could be tried only by shutting a stand-in's gate.

Change: crates/standins has links (streams and datagrams: cut one way or both, silent but open, slow, narrow, reset in the middle, lost, twice, out of order, healed; each direction has its own way, chance from a seed), processes (SIGKILL, SIGSTOP, SIGCONT, their logs), disks (lost, an old copy put back) and time lines as JSON lines, drawn from a seed or read from a file. doorgrade-lab return: many fronts before one set of caches, seven in ten killed at once, clients that go to those that live.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod fleet;
 mod log;
+mod returns;
 mod rig;
 mod shape;
 mod soak;
@@ -80,6 +81,17 @@
         #[arg(long)]
         front: Option<std::path::PathBuf>,
     },
+    /// Many fronts before one set of caches, seven in ten killed at once: what the rest and the returned know and ask
+    Return {
+        #[command(flatten)]
+        how: How,
+        /// The program to measure; the one beside this by default
+        #[arg(long)]
+        front: Option<std::path::PathBuf>,
+        /// Loads second by second, on standard error
+        #[arg(long)]
+        timeline: bool,
+    },
     /// A front's memory over as many accesses as 45 minutes bring, with caches, objects and clients always new
     Soak {
         #[command(flatten)]
@@ -133,6 +145,7 @@
             (how.clone(), figures)
         }
         Subject::Fleet { how, front } => (how.clone(), fleet::run(&how, front)),
+        Subject::Return { how, front, timeline } => (how.clone(), returns::run(&how, front, timeline)),
         Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -1,16 +1,18 @@
 //! Real fronts as processes, and the load on them.
 
-use std::io::{BufRead, BufReader, Write};
+use std::collections::HashMap;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex};
+use std::process::Command;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use doorgrade_standins::client::Asked;
-use doorgrade_standins::{Client, object};
+use doorgrade_standins::process::Process;
+use doorgrade_standins::{Client, Member, object};
 use hdrhistogram::Histogram;
+use serde_json::{Value, json};
 
 /// The program that is measured: built beside this one, unless another is named.
 pub fn program(named: Option<PathBuf>) -> Result<PathBuf, String> {
@@ -53,9 +55,8 @@
 }
 
 pub struct Front {
-    process: Child,
+    process: Process,
     pub at: SocketAddr,
-    log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Front {
@@ -67,27 +68,13 @@
             Some(path) => command.env("DOORGRADE_SETTINGS", path),
             None => command.env_remove("DOORGRADE_SETTINGS").current_dir(std::env::temp_dir()),
         };
-        let mut process = command.stderr(Stdio::piped()).spawn().map_err(|e| e.to_string())?;
-        let log = Arc::new(Mutex::new(Vec::new()));
-        let (found, listens) = channel();
-        if let Some(stderr) = process.stderr.take() {
-            let log = log.clone();
-            std::thread::spawn(move || {
-                for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-                    if let Some((_, at)) = line.split_once(" listens on ") {
-                        let _ = found.send(at.trim().parse::<SocketAddr>());
-                    }
-                    log.lock().unwrap_or_else(|e| e.into_inner()).push(line);
-                }
-            });
-        }
-        let at = listens.recv_timeout(Duration::from_secs(10));
-        let mut front = Front { process, at: SocketAddr::from(([0, 0, 0, 0], 0)), log };
+        let process = Process::start(&mut command).map_err(|e| e.to_string())?;
+        let listens = process.line(" listens on ", Duration::from_secs(10));
+        let at = listens.as_deref().and_then(|l| l.split_once(" listens on ")).map(|l| l.1.trim().parse());
         match at {
-            Ok(Ok(at)) => front.at = at,
-            _ => return Err(format!("a front does not start: {:?}", front.lines())),
+            Some(Ok(at)) => Ok(Front { process, at }),
+            _ => Err(format!("a front does not start: {:?}", process.lines())),
         }
-        Ok(front)
     }
 
     pub fn process(&self) -> u32 {
@@ -95,7 +82,7 @@
     }
 
     pub fn lines(&self) -> Vec<String> {
-        self.log.lock().unwrap_or_else(|e| e.into_inner()).clone()
+        self.process.lines()
     }
 
     pub fn count(&self, text: &str) -> usize {
@@ -103,11 +90,11 @@
     }
 
     pub fn reload(&self) {
-        let _ = Command::new("kill").args(["-HUP", &self.process.id().to_string()]).status();
+        self.process.hang_up();
     }
 
     pub fn alive(&mut self) -> bool {
-        matches!(self.process.try_wait(), Ok(None))
+        self.process.alive()
     }
 
     pub fn keep_log(&self, folder: &Path, name: &str) -> std::io::Result<()> {
@@ -117,13 +104,6 @@
     }
 }
 
-impl Drop for Front {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
-}
-
 /// What a process holds in memory, in MB.
 pub fn memory_mb(process: u32) -> Result<f64, String> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).map_err(|e| e.to_string())?;
@@ -156,6 +136,8 @@
     pub planned: Planned,
     pub got: Got,
     pub took_ms: f64,
+    /// As it was chosen.
+    pub front: usize,
 }
 
 #[derive(Default)]
@@ -174,6 +156,23 @@
     pub write: bool,
 }
 
+impl Class {
+    /// As a front's settings have it.
+    pub fn profile(&self) -> Value {
+        json!({"name": self.name, "aim": self.soft_ms, "deadline": self.wait_ms as f64, "worth": self.benefit,
+            "semantics": if self.write { "single_shot" } else { "free" }})
+    }
+}
+
+/// A member as a front's first list has it.
+pub fn listed(m: &Member, place: &str, flavor: &str) -> Value {
+    json!({"id": m.id, "host_port": m.at.to_string(), "locality": place, "flavor": flavor, "cell": 0,
+        "phase": "in_service", "size": 1, "up_since_ms": 0})
+}
+
+/// Protocol fact: clients close connections that have been idle for 4 s; some less, so that none crosses a close.
+const CLIENT_IDLE: Duration = Duration::from_millis(3_500);
+
 /// Plays a plan against one front: each access at its time, whatever became of those before it.
 pub fn play(
     front: SocketAddr,
@@ -181,20 +180,37 @@
     classes: &[Class],
     start: Instant,
     workers: usize,
+) -> Played {
+    play_at(&|_| Some((0, front)), plan, classes, start, workers)
+}
+
+/// As `play`, against the front that is chosen for each access when it is due, by its place in the plan.
+pub fn play_at(
+    choose: &(dyn Fn(usize) -> Option<(usize, SocketAddr)> + Sync),
+    plan: &[Planned],
+    classes: &[Class],
+    start: Instant,
+    workers: usize,
 ) -> Played {
     let next = std::sync::atomic::AtomicUsize::new(0);
     let played = Mutex::new(Played::default());
     std::thread::scope(|scope| {
         for _ in 0..workers {
             scope.spawn(|| {
-                let (mut own, mut client) = (Played::default(), None);
+                let (mut own, mut clients) = (Played::default(), HashMap::new());
+                let fresh = |used: &Instant| used.elapsed() < CLIENT_IDLE;
                 loop {
                     let at = next.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
                     let Some(&planned) = plan.get(at) else { break };
                     let due = start + Duration::from_secs_f64(planned.at_ms / 1e3);
                     std::thread::sleep(due.saturating_duration_since(Instant::now()));
-                    let got = ask(front, &mut client, &classes[planned.class], planned.key, &mut own);
-                    own.samples.push(Sample { planned, got, took_ms: due.elapsed().as_secs_f64() * 1e3 });
+                    let Some((front, address)) = choose(at) else { continue };
+                    let (mut client, _) =
+                        clients.remove(&address).filter(|(_, used)| fresh(used)).unwrap_or((None, due));
+                    let got = ask(address, &mut client, &classes[planned.class], planned.key, &mut own);
+                    clients.insert(address, (client, Instant::now()));
+                    let took_ms = due.elapsed().as_secs_f64() * 1e3;
+                    own.samples.push(Sample { planned, got, took_ms, front });
                 }
                 let mut all = played.lock().unwrap_or_else(|e| e.into_inner());
                 all.samples.append(&mut own.samples);
--- a/crates/lab/src/shape.rs
+++ b/crates/lab/src/shape.rs
@@ -95,24 +95,17 @@
     }
 
     fn config(&self, station: usize, seed: u64) -> String {
-        let member = |m: &Member, place: &str, flavor: &str| {
-            json!({"id": m.id, "host_port": m.at.to_string(), "locality": place, "flavor": flavor, "cell": 0,
-                "phase": "in_service", "size": 1, "up_since_ms": 0})
-        };
         let place = ["one", "two", "three"][station];
-        let mut members: Vec<_> = self.caches[station].iter().map(|m| member(m, place, "cache")).collect();
-        members.extend(self.trunks.iter().map(|m| member(m, "hub", "trunk")));
-        members.push(member(&self.archive, "hub", "archive"));
-        let profile = |c: &Class| {
-            json!({"name": c.name, "aim": c.soft_ms, "deadline": c.wait_ms as f64, "worth": c.benefit,
-                "semantics": if c.write { "single_shot" } else { "free" }})
-        };
+        let mut members: Vec<_> =
+            self.caches[station].iter().map(|m| rig::listed(m, place, "cache")).collect();
+        members.extend(self.trunks.iter().map(|m| rig::listed(m, "hub", "trunk")));
+        members.push(rig::listed(&self.archive, "hub", "archive"));
         let settings = json!({
             "zone": station, "fleetSize": 1, "quantum": 2.0, "localities": ["one", "two", "three", "hub"],
             "machineTypes": ["cache", "trunk", "archive"], "registryMode": "automatic", "weightKind": "nominal",
             "limits": {"cancel": true, "connIdle": 15000.0, "connectTimeout": 400.0, "maxAttempts": 6,
                 "secondCopies": true, "retryAfter": true, "maxRetryAfter": 1000.0},
-            "profiles": CLASSES.iter().map(profile).collect::<Vec<_>>(),
+            "profiles": CLASSES.iter().map(Class::profile).collect::<Vec<_>>(),
             "rules": {"cold": 8000.0, "fall": 1500.0, "fallMultiple": 3.0, "startCapacity": 0.2},
             "specifics": {"crewByZone": [1, 1, 1, 1], "maxAge": [FRESH_MS, 0.0, 0.0], "notesGiven": "all",
                 "passOn": [false, false, true], "purgeDone": 6000.0, "upperKind": 1, "rootKind": 2,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod client;
 pub mod feed;
+pub mod links;
 pub mod member;
+pub mod process;
+pub mod timeline;
 pub mod versions;
 mod wire;
 
