Fronts that know of each other: datagrams under seals, off by default; doorgrade neighbours

Need: the decisions of crates/members had no sockets, so nobody knew of anybody. Memory after a mass death and works in hand need to know who is there.

Change: where the operators' settings have a block 'neighbours', one more thread of the front carries datagrams and the time to them; the keys are those that seal versions, read anew while it runs. doorgrade neighbours asks a front how it stands, page by page, under the same keys. A side thread of the front is now one piece (side.rs), the follower of versions uses it. Off: nothing of it starts; the guard of run finds nothing.

Design note and operators' page: docs/neighbours.md.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod fleet;
 mod keys;
+mod neighbours;
 mod shape;
 mod table;
 
@@ -74,6 +75,8 @@
     },
     /// Orders for instances, and how they stand; asks the agent whose settings are named
     Fleet(fleet::Fleet),
+    /// How a front stands among others; asks the front whose settings are named
+    Neighbours(neighbours::Neighbours),
     /// Makes authorities, certificates and seal keys, and shows when they end
     #[command(subcommand)]
     Keys(keys::Keys),
@@ -168,6 +171,7 @@
             doorgrade_agent::serve::serve(settings).map(|()| End::Done)
         }
         Some(Command::Fleet(command)) => fleet::run(command),
+        Some(Command::Neighbours(command)) => neighbours::run(&command, settings),
         Some(Command::Keys(command)) => keys::run(command),
         Some(Command::Completions { shell }) => {
             let mut out = Vec::new();
--- /dev/null
+++ b/crates/cli/src/neighbours.rs
@@ -0,0 +1,114 @@
+//! `doorgrade neighbours`: how a front stands among others, by its own word.
+
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+
+use clap::Args;
+use doorgrade_front::neighbours::{Place, Row, Seems, Status, status};
+use doorgrade_front::versions::read_keys;
+use doorgrade_members::seal::Keys;
+use doorgrade_operator::files;
+use serde_json::json;
+
+use crate::table::columns;
+use crate::{End, say};
+
+#[derive(Args)]
+pub struct Neighbours {
+    /// The front that is asked; the one that the settings are of if none is given
+    #[arg(long, value_name = "ADDRESS")]
+    at: Option<SocketAddrV4>,
+    /// Where this machine reaches it, if that is another address than the one that others know
+    #[arg(long, value_name = "ADDRESS")]
+    through: Option<SocketAddrV4>,
+    /// As one JSON object
+    #[arg(long)]
+    json: bool,
+}
+
+fn state(state: Seems) -> &'static str {
+    match state {
+        Seems::Up => "up",
+        Seems::Doubted => "doubted",
+        Seems::Down => "down",
+    }
+}
+
+fn standing(place: Place) -> &'static str {
+    match place {
+        Place::Alone => "alone",
+        Place::Doubts => "doubts",
+        Place::Among => "among",
+    }
+}
+
+fn seconds(ms: u64) -> String {
+    format!("{}.{} s", ms / 1_000, ms % 1_000 / 100)
+}
+
+fn table(s: &Status) -> String {
+    let mut rows =
+        vec![["NAME", "STATION", "ADDRESS", "LIFE", "STATE", "SINCE", "HEARD"].map(String::from).to_vec()];
+    rows.extend(s.rows.iter().map(|r: &Row| {
+        let heard = r.heard_ms.map_or("never".into(), |ms| format!("{} ago", seconds(ms)));
+        let id = &r.id;
+        let (name, station, at, life) = (&id.name, &id.station, id.at, id.incarnation());
+        let state = state(r.state).to_owned();
+        vec![
+            name.to_string(),
+            station.to_string(),
+            at.to_string(),
+            life.to_string(),
+            state,
+            seconds(r.since_ms),
+            heard,
+        ]
+    }));
+    let own = &s.own;
+    format!(
+        "{} ({}, {}) is {}, in life {}: {} datagrams said, {} not said, {} refused\n{}",
+        own.name,
+        own.station,
+        own.at,
+        match s.standing {
+            Place::Among => "among neighbours",
+            Place::Doubts => "in doubt: it has slept, and nobody has answered since",
+            Place::Alone => "alone",
+        },
+        own.incarnation(),
+        s.said,
+        s.kept,
+        s.refused,
+        columns(&rows)
+    )
+}
+
+fn object(s: &Status) -> String {
+    let rows = s.rows.iter().map(|r| {
+        json!({"front": &*r.id.name, "station": &*r.id.station, "address": r.id.at.to_string(),
+            "life": r.id.incarnation(), "state": state(r.state), "since_ms": r.since_ms, "heard_ms": r.heard_ms})
+    });
+    let own = &s.own;
+    let own = json!({"front": &*own.name, "station": &*own.station, "address": own.at.to_string(),
+        "life": own.incarnation(), "standing": standing(s.standing), "said": s.said, "kept": s.kept,
+        "refused": s.refused, "neighbours": rows.collect::<Vec<_>>()});
+    format!("{own}\n")
+}
+
+pub fn run(command: &Neighbours, settings: Option<PathBuf>) -> Result<End, String> {
+    let path = settings.unwrap_or_else(|| files::USUAL.into());
+    let files = files::load(Some(&path)).map_err(|problems| problems.to_string())?;
+    let off = || {
+        format!(
+            "{}: block 'neighbours' is off: expected the settings of a front with neighbours",
+            path.display()
+        )
+    };
+    let own = files.settings.neighbours.ok_or_else(off)?;
+    let keys = Keys::new(&read_keys(&files::beside(&path, &own.seal_keys))?);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let at = command.at.unwrap_or(own.address);
+    let told = runtime.block_on(status(&keys, at, command.through.unwrap_or(at)))?;
+    say(&if command.json { object(&told) } else { table(&told) }).map(|()| End::Done)
+}
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -205,6 +205,7 @@
             ("log.format", own.log.format != theirs.log.format),
             ("hierarchy", own.hierarchy != theirs.hierarchy),
             ("versions", own.versions != theirs.versions),
+            ("neighbours", own.neighbours != theirs.neighbours),
         ];
         let waits = waits.into_iter().filter(|w| w.1).map(|w| w.0).collect();
         let Config { feed, limits, log, files, whole, .. } = new;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -17,7 +17,9 @@
 use crate::clock::Clock;
 use crate::config::{Config, Renewal};
 use crate::conn::{self, ConnId, Event, Port};
+use crate::neighbours::Told;
 use crate::reducer::{Effect, Input, Made, Reducer};
+use crate::side::Side;
 use crate::versions::{Kept, Served};
 
 /// Where a front finds what it is told.
@@ -46,6 +48,7 @@
 /// Serves until it is told to stop.
 pub fn serve(place: Place) -> Result<(), String> {
     let config = place.read().inspect_err(|_| doorgrade_log::start(LevelFilter::INFO, Format::Human))?;
+    let settings = place.settings.clone().unwrap_or_else(|| files::USUAL.into());
     doorgrade_log::start(
         config.log,
         match config.files.settings.log.format {
@@ -60,6 +63,9 @@
     // Before anything else: a version that is kept is what this start runs.
     let kept = config.files.settings.versions.clone().map(|own| Kept::open(own, &place, &config));
     let version = kept.as_ref().and_then(|kept| kept.version.clone());
+    let neighbours = config.files.settings.neighbours.clone();
+    let neighbours =
+        neighbours.map(|own| Told::read(own, &settings, &config.name, config.seed)).transpose()?;
     let first = config.clone();
     let config = match &version {
         Some(version) => config.overlaid(version),
@@ -84,10 +90,9 @@
     tracing::info!("{name} listens on {local}");
     driver.reducer.input(clock.now(), Input::Listening);
     let follows = kept.map(|kept| kept.follow(name, in_use, served)).transpose()?;
+    let speaks = neighbours.map(Told::start).transpose()?;
     driver.run(&mut clock, &happened);
-    if let Some(follows) = follows {
-        follows.stop();
-    }
+    follows.into_iter().chain(speaks).for_each(Side::stop);
     tracing::info!("ends; at the most: {:?}", driver.reducer.most());
     Ok(())
 }
--- a/crates/front/src/versions.rs
+++ b/crates/front/src/versions.rs
@@ -8,7 +8,6 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc;
 use std::time::Duration;
 
 use doorgrade_keys::rustls::ClientConfig;
@@ -29,6 +28,7 @@
 use crate::conn::Event;
 use crate::reducer;
 use crate::serve::{Place, Shared, lock};
+use crate::side::Side;
 
 /// How it serves, from the reducer to whoever tells the service: sums in thousandths.
 #[derive(Default)]
@@ -101,7 +101,7 @@
     }
 
     /// Starts the thread that follows the service.
-    pub fn follow(self, name: String, in_use: Shared, served: Arc<Served>) -> Result<Follows, String> {
+    pub fn follow(self, name: String, in_use: Shared, served: Arc<Served>) -> Result<Side, String> {
         let fault = |what: &str| format!("settings: block 'versions': {what}");
         let server = ServerName::try_from(self.own.server_name.to_string());
         let server = server.map_err(|e| fault(&format!("key 'server_name': {e}")))?;
@@ -111,17 +111,8 @@
             Reloading::new(files, move || client(&paths, FRONTS)).map_err(|t| fault(&t.to_string()))?;
         let seal_keys = files::beside(&self.settings, &self.own.seal_keys);
         let keys = read_keys(&seal_keys).map_err(|why| fault(&why))?;
-        let (stop, stopped) = oneshot::channel();
-        let (over, ended) = mpsc::channel();
-        let named = tracing::Span::current();
-        let run = move || {
-            let _named = named.entered();
+        Side::start("versions", move |stopped| async move {
             let Kept { own, store, found, usable, seed, .. } = self;
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-            let runtime = match runtime {
-                Ok(runtime) => runtime,
-                Err(e) => return tracing::error!("versions: the service can't be followed: {e}"),
-            };
             let host = Runs { store, in_use, served, before: (0, 0), next: None, lost: None };
             let (commands, mut told) = queue::channel(4);
             let to = To { at: own.service, name: server };
@@ -129,38 +120,19 @@
             let (mut follow, first) = Follow::new(host, to, papers.made(), |at, out| {
                 Front::start(at, seed, (&name, &own.station), first_keys, found, usable, out)
             });
-            runtime.block_on(async {
-                tokio::select! {
-                    () = follow.run(first, &mut told) => {}
-                    () = watch(papers, seal_keys, keys, commands) => {}
-                    // Wherever it is: what was being brought into use is found as not stored, not as a crash.
-                    _ = stopped => {}
-                }
-            });
+            tokio::select! {
+                () = follow.run(first, &mut told) => {}
+                () = watch(papers, seal_keys, keys, commands) => {}
+                // Wherever it is: what was being brought into use is found as not stored, not as a crash.
+                _ = stopped => {}
+            }
             follow.host.unstage();
-            let _ = over.send(());
-        };
-        let thread = std::thread::Builder::new().name("versions".into());
-        thread.spawn(run).map_err(|e| format!("versions: {e}"))?;
-        Ok(Follows { stop, ended })
-    }
-}
-
-/// The thread that follows the service.
-pub struct Follows {
-    stop: oneshot::Sender<()>,
-    ended: mpsc::Receiver<()>,
-}
-
-impl Follows {
-    /// A record that is being written is finished; more is not waited for.
-    pub fn stop(self) {
-        let _ = self.stop.send(());
-        let _ = self.ended.recv_timeout(Duration::from_secs(1));
+        })
     }
 }
 
-fn read_keys(file: &std::path::Path) -> Result<Vec<(u32, Vec<u8>)>, String> {
+/// The operators' keys that seal, by number.
+pub fn read_keys(file: &std::path::Path) -> Result<Vec<(u32, Vec<u8>)>, String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: can't be read: {e}"))?;
     let keys =
@@ -170,7 +142,7 @@
 }
 
 /// How often keys and certificates are looked at.
-const LOOK_EACH: Duration = Duration::from_secs(10);
+pub(crate) const LOOK_EACH: Duration = Duration::from_secs(10);
 
 /// Keys and certificates that change, and those that will end.
 async fn watch(
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 mod doc;
 pub mod files;
+pub mod neighbours;
 pub mod settings;
 pub mod shape;
 pub mod version;
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::control::{Papers, address, papers, path};
 use crate::doc::{Block, Doc, Problems};
+use crate::neighbours::{Neighbours, neighbours};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Format {
@@ -76,6 +77,8 @@
     pub versions: Option<Versions>,
     pub manage: Option<Manage>,
     /// None where it is off.
+    pub neighbours: Option<Neighbours>,
+    /// None where it is off.
     pub hierarchy: Option<Hierarchy>,
 }
 
@@ -101,7 +104,7 @@
 }
 
 /// A name that stands in certificates.
-fn named(own: &Block<'_>, key: &'static str) -> Option<Box<str>> {
+pub(crate) fn named(own: &Block<'_>, key: &'static str) -> Option<Box<str>> {
     let told = own.required(key, own.text(key))?;
     let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
     if told.is_empty() || told.len() > 64 || !told.bytes().all(plain) {
@@ -189,6 +192,10 @@
                 .map(|((service, server_name), papers)| Manage { service, server_name, papers });
             own.done();
         }
+        if let Some(own) = root.block("neighbours") {
+            settings.neighbours = neighbours(&own);
+            own.done();
+        }
         root.done();
         doc.finish(settings)
     }
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -103,3 +103,31 @@
         let _ = (Settings::read("d.hcl", &text), shape::read("s.hcl", &text));
     }
 }
+
+#[test]
+fn neighbours_are_read_and_each_fault_is_named() {
+    let sound = "neighbours {\n  enabled = true\n  listen = \"127.0.0.1:7460\"\n  seeds = [\"127.0.0.1:7461\"]\n  \
+                 station = \"hillside\"\n  seal_keys = \"k.hcl\"\n}\n";
+    let own = Settings::read("d.hcl", sound).unwrap().neighbours.unwrap();
+    assert_eq!((own.address, own.about, own.probe_ms, own.words), (own.listen, 100, 1_000, 40));
+    assert_eq!(Settings::read("d.hcl", &sound.replace("= true", "= false")).unwrap().neighbours, None);
+    assert_eq!(
+        problems(&sound.replace("127.0.0.1:7460", "0.0.0.0:7460")),
+        [
+            "d.hcl:3:12: key 'neighbours.listen': expected an IPv4 address with a port, as in 10.0.0.4:7460, got \"0.0.0.0:7460\""
+        ]
+    );
+    assert_eq!(
+        problems(&sound.replace("[\"127.0.0.1:7461\"]", "[]")),
+        [
+            "d.hcl:4:11: key 'neighbours.seeds': expected 1 to 64 IPv4 addresses with ports, as in [\"10.0.0.1:7460\"]"
+        ]
+    );
+    let bare = "neighbours {\n  enabled = true\n}\n";
+    let missing = ["listen", "seeds", "station", "seal_keys"];
+    assert_eq!(problems(bare), missing.map(|key| format!("d.hcl:1:1: key 'neighbours.{key}': is missing")));
+    assert_eq!(
+        problems("neighbours {\n  probe_ms = 5\n}\n"),
+        ["d.hcl:2:14: key 'neighbours.probe_ms': expected a whole number from 100 to 60000, got 5"]
+    );
+}
--- a/deploy/doorgrade.hcl
+++ b/deploy/doorgrade.hcl
@@ -37,3 +37,16 @@
 #   key         = "person.key"
 #   authority   = "fronts-ca.pem"
 # }
+
+# Other fronts, by datagrams under seals (docs/neighbours.md). Off: this platform's fronts share nothing.
+neighbours {
+  enabled = false
+  # listen    = "10.0.0.4:7460"     # where their datagrams come; IPv4
+  # address   = "10.0.0.4:7460"     # where they reach this front, if that is another
+  # seeds     = ["10.0.0.1:7460"]   # some that are likely there
+  # station   = "hillside"
+  # seal_keys = "seal-keys.hcl"     # doorgrade keys makes them
+  # about     = 100                 # fronts, roughly
+  # probe_ms  = 1000                # more than twice what the slowest link takes there and back
+  # words     = 40                  # datagrams a second at the most
+}
