--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod keys;
 mod neighbours;
+mod recall;
 mod shape;
 mod table;
 
@@ -77,6 +78,9 @@
     Fleet(fleet::Fleet),
     /// How a front stands among others; asks the front whose settings are named
     Neighbours(neighbours::Neighbours),
+    /// What a front remembers over a restart
+    #[command(subcommand)]
+    Recall(recall::Recall),
     /// Makes authorities, certificates and seal keys, and shows when they end
     #[command(subcommand)]
     Keys(keys::Keys),
@@ -172,6 +176,7 @@
         }
         Some(Command::Fleet(command)) => fleet::run(command),
         Some(Command::Neighbours(command)) => neighbours::run(&command, settings),
+        Some(Command::Recall(command)) => recall::run(command, settings),
         Some(Command::Keys(command)) => keys::run(command),
         Some(Command::Completions { shell }) => {
             let mut out = Vec::new();
--- a/crates/cli/src/neighbours.rs
+++ b/crates/cli/src/neighbours.rs
@@ -95,7 +95,12 @@
     format!("{own}\n")
 }
 
-pub fn run(command: &Neighbours, settings: Option<PathBuf>) -> Result<End, String> {
+/// Asks a front, with the keys that the settings name.
+pub fn ask(
+    settings: Option<PathBuf>,
+    at: Option<SocketAddrV4>,
+    through: Option<SocketAddrV4>,
+) -> Result<Status, String> {
     let path = settings.unwrap_or_else(|| files::USUAL.into());
     let files = files::load(Some(&path)).map_err(|problems| problems.to_string())?;
     let off = || {
@@ -108,7 +113,11 @@
     let keys = Keys::new(&read_keys(&files::beside(&path, &own.seal_keys))?);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
-    let at = command.at.unwrap_or(own.address);
-    let told = runtime.block_on(status(&keys, at, command.through.unwrap_or(at)))?;
+    let at = at.unwrap_or(own.address);
+    runtime.block_on(status(&keys, at, through.unwrap_or(at)))
+}
+
+pub fn run(command: &Neighbours, settings: Option<PathBuf>) -> Result<End, String> {
+    let told = ask(settings, command.at, command.through)?;
     say(&if command.json { object(&told) } else { table(&told) }).map(|()| End::Done)
 }
--- a/crates/cli/tests/helper/mod.rs
+++ b/crates/cli/tests/helper/mod.rs
@@ -1,6 +1,8 @@
 //! The program itself as a process.
 #![allow(dead_code)] // Each test file uses a part.
 
+pub mod fleet;
+
 use std::io::{BufRead, BufReader, Read};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
--- a/crates/cli/tests/neighbours.rs
+++ b/crates/cli/tests/neighbours.rs
@@ -1,142 +1,15 @@
 //! Real fronts that speak with each other, links between them that are cut, and processes that die, stall and begin
 //! anew. What they say of each other is asked by the command; what they said is counted at the links.
 
-use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::process::Command;
-use std::time::{Duration, Instant};
-
-use doorgrade_front::neighbours::{Place, Seems, Status, status};
-use doorgrade_front::versions::read_keys;
-use doorgrade_members::seal::Keys;
-use doorgrade_standins::links::{Links, Way};
-use doorgrade_standins::process::Process;
-
-const WORDS: usize = 40;
-/// So that a death is missed within some seconds.
-const PROBE_MS: u64 = 200;
-/// For what is to come to be; a busy machine takes longer than an idle one.
-const LONG: Duration = Duration::from_secs(30);
-
-struct Fleet {
-    folder: PathBuf,
-    links: Links,
-    /// Where each listens itself, and where others reach it.
-    own: Vec<SocketAddr>,
-    at: Vec<SocketAddrV4>,
-    fronts: Vec<Option<Process>>,
-    begun: Instant,
-}
-
-fn names(of: std::ops::Range<usize>) -> Vec<String> {
-    of.map(|n| format!("n{n}")).collect()
-}
-
-impl Fleet {
-    fn new(name: &str, size: usize) -> Fleet {
-        let folder = std::env::temp_dir().join(format!("doorgrade-{}-{name}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        std::fs::create_dir_all(&folder).unwrap();
-        let secret = "5e".repeat(32);
-        std::fs::write(folder.join("seal-keys.hcl"), format!("key \"1\" {{ secret = \"{secret}\" }}\n"))
-            .unwrap();
-        std::fs::write(folder.join("config.json"), include_str!("../../../examples/config.json")).unwrap();
-        let links = Links::new(1);
-        // A free port of each is found by taking it for a moment.
-        let taken: Vec<_> = (0..size).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
-        let own: Vec<_> = taken.iter().map(|s| s.local_addr().unwrap()).collect();
-        drop(taken);
-        let reached =
-            names(0..size).into_iter().zip(&own).map(|(name, &at)| links.mailbox(&name, at).unwrap());
-        let at: Vec<SocketAddrV4> = reached.map(|at| at.to_string().parse().unwrap()).collect();
-        let mut fleet = Fleet {
-            folder,
-            links,
-            own,
-            at,
-            fronts: (0..size).map(|_| None).collect(),
-            begun: Instant::now(),
-        };
-        (0..size).for_each(|n| fleet.start(n));
-        fleet
-    }
-
-    fn settings(&self, n: usize) -> PathBuf {
-        let (listen, address, seeds) = (self.own[n], self.at[n], [self.at[0], self.at[1]]);
-        let text = format!(
-            "neighbours {{\n  enabled = true\n  listen = \"{listen}\"\n  address = \"{address}\"\n  \
-             seeds = [\"{}\", \"{}\"]\n  station = \"hillside\"\n  seal_keys = \"seal-keys.hcl\"\n  about = 10\n  \
-             probe_ms = {PROBE_MS}\n  words = {WORDS}\n}}\n",
-            seeds[0], seeds[1]
-        );
-        let path = self.folder.join(format!("n{n}.hcl"));
-        std::fs::write(&path, text).unwrap();
-        path
-    }
-
-    fn start(&mut self, n: usize) {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
-        command.env("PROXY_CONFIG", self.folder.join("config.json")).env("PROXY_NAME", format!("n{n}"));
-        command.env("PROXY_LISTEN", "127.0.0.1:0").env("DOORGRADE_SETTINGS", self.settings(n));
-        let process = Process::start(&mut command).unwrap();
-        assert!(process.line(" listens on ", LONG).is_some(), "{:?}", process.lines());
-        self.fronts[n] = Some(process);
-    }
-
-    fn front(&mut self, n: usize) -> &mut Process {
-        self.fronts[n].as_mut().unwrap()
-    }
+mod helper;
 
-    fn ask(&self, n: usize) -> Option<Status> {
-        let keys = Keys::new(&read_keys(&self.folder.join("seal-keys.hcl")).unwrap());
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        // The front seals for the address that it is told of, so it is asked there, past the links.
-        let own: SocketAddrV4 = self.own[n].to_string().parse().unwrap();
-        runtime.block_on(status(&keys, self.at[n], own)).ok()
-    }
-
-    /// Those that it takes for up, itself included.
-    fn picture(&self, n: usize) -> Vec<String> {
-        let Some(told) = self.ask(n) else { return Vec::new() };
-        let up = told.rows.iter().filter(|r| r.state == Seems::Up).map(|r| r.id.name.to_string());
-        let mut up: Vec<String> = up.chain([format!("n{n}")]).collect();
-        up.sort();
-        up
-    }
-
-    fn all_see(&self, who: std::ops::Range<usize>, whom: std::ops::Range<usize>) {
-        let whom = names(whom);
-        until(&format!("n{who:?} see {whom:?}"), || {
-            who.clone()
-                .all(|n| self.picture(n) == whom && self.ask(n).is_some_and(|s| s.standing == Place::Among))
-        });
-    }
-
-    fn words_hold(&self) {
-        let seconds = self.begun.elapsed().as_secs_f64();
-        for name in names(0..self.at.len()) {
-            let said = self.links.sent_by(&name).datagrams;
-            // A name's lives each have a second's worth at once.
-            let most = WORDS as f64 * (seconds + 4.0);
-            assert!((said as f64) < most, "{name} said {said} datagrams in {seconds:.1} s");
-        }
-    }
-}
-
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        self.fronts.clear();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
 
-fn until(what: &str, holds: impl Fn() -> bool) {
-    let begun = Instant::now();
-    while !holds() {
-        assert!(begun.elapsed() < LONG, "{what}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
+use doorgrade_front::neighbours::Place;
+use doorgrade_standins::links::Way;
+use helper::fleet::{Fleet, names, until};
 
 fn command(settings: &Path, args: &[&str]) -> (i32, String, String) {
     let run = Command::new(env!("CARGO_BIN_EXE_doorgrade"))
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -206,6 +206,7 @@
             ("hierarchy", own.hierarchy != theirs.hierarchy),
             ("versions", own.versions != theirs.versions),
             ("neighbours", own.neighbours != theirs.neighbours),
+            ("recall", own.recall != theirs.recall),
         ];
         let waits = waits.into_iter().filter(|w| w.1).map(|w| w.0).collect();
         let Config { feed, limits, log, files, whole, .. } = new;
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -33,6 +33,8 @@
     Drain(bool),
     /// Their word to take the configuration that has replaced the one in use.
     Reload(Box<Renewal>),
+    /// What was known before the start, or is known to neighbours.
+    Recall(Vec<doorgrade_recall::Fill>, Vec<doorgrade_recall::Purge>),
     /// The same of a version, and where to say that it was taken.
     Version(Box<Renewal>, tokio::sync::oneshot::Sender<()>),
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod http;
 pub mod intake;
+pub mod memory;
 pub mod neighbours;
 pub mod phase;
 pub mod push;
--- /dev/null
+++ b/crates/front/src/memory.rs
@@ -0,0 +1,237 @@
+//! What a front remembers, on disk and for neighbours: reads and writes, and hands all of it to [`Memory`], [`Asking`]
+//! and [`Giving`], which decide. Off unless the operators' settings have it on.
+
+use std::net::SocketAddrV4;
+use std::path::Path;
+
+use doorgrade::{Offering, Tenths};
+use doorgrade_operator::files;
+use doorgrade_operator::neighbours::Recall;
+use doorgrade_recall::{
+    Asked, Asking, Fill, Gave, Giver, Giving, Memory, Purge, Rules, Snapshot, Source, Tally,
+};
+use doorgrade_store::{Records, Trouble};
+use serde::{Deserialize, Serialize};
+
+use crate::clock;
+use crate::reducer::Learned;
+
+const RECORD: &str = "memory";
+
+/// The rules that a deployment's offerings make.
+pub fn rules(offerings: &[Offering], purge_done: Tenths, most: usize) -> Rules {
+    Rules { fresh: offerings.iter().map(|o| o.fresh).collect(), purge_done, most }
+}
+
+/// For people: what is remembered and from whom, and what came of asking and giving.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Remembers {
+    pub own: u64,
+    pub snapshot: u64,
+    pub neighbours: u64,
+    pub purges: u64,
+    /// Pages given, and not given since too many were asked for or there was nothing.
+    pub given: u64,
+    pub turned_down: u64,
+    /// Pages that came, and that did not come from where they were asked first.
+    pub came: u64,
+    pub lost: u64,
+    /// It has all that it asked for, or gave up asking.
+    pub done: bool,
+}
+
+/// Reads the snapshot in a store: what the store says, and what is in the way of reading it.
+pub fn read(records: &Records) -> Result<Option<Snapshot>, String> {
+    let Some(bytes) = records.read(RECORD).map_err(|t| t.to_string())? else { return Ok(None) };
+    postcard::from_bytes(&bytes).map(Some).map_err(|_| "the snapshot can't be read".into())
+}
+
+pub struct Remember {
+    own: Recall,
+    name: String,
+    memory: Memory,
+    store: Option<Records>,
+    /// The life of the start before, if its snapshot says.
+    pub last_life: u64,
+    written: Tenths,
+    /// Something has come since.
+    changed: bool,
+    asking: Option<Asking>,
+    giving: Giving,
+    tally: Tally,
+    /// What was found at the start, for the front to hear before it serves.
+    found: (Vec<Fill>, Vec<Purge>),
+    failed: Option<String>,
+}
+
+impl Remember {
+    /// Nothing that is wrong with the store ends a start: the front then remembers nothing, and says so.
+    pub fn open(own: Recall, settings: &Path, name: &str, rules: Rules) -> Remember {
+        let now = clock::unix();
+        let path = files::beside(settings, &own.store);
+        let store = match Records::open(&path) {
+            Ok((records, trouble)) => {
+                trouble.iter().for_each(|trouble| tracing::error!("recall: {trouble}"));
+                Some(records)
+            }
+            Err(trouble) => {
+                tracing::error!("recall: {}: {trouble}; nothing will be stored", path.display());
+                None
+            }
+        };
+        let giving = Giving::new(own.pages, now);
+        let mut remember = Remember {
+            memory: Memory::new(rules),
+            name: name.into(),
+            store,
+            last_life: 0,
+            written: now,
+            changed: false,
+            asking: None,
+            giving,
+            tally: Tally::default(),
+            found: Default::default(),
+            failed: None,
+            own,
+        };
+        remember.load(now);
+        remember
+    }
+
+    fn load(&mut self, now: Tenths) {
+        let read = self.store.as_ref().map_or(Ok(None), read);
+        let snapshot = match read {
+            Ok(Some(snapshot)) => snapshot,
+            Ok(None) => return tracing::info!("recall: no snapshot of its own"),
+            Err(why) => return tracing::error!("recall: its own snapshot is left out: {why}"),
+        };
+        if *snapshot.front == *self.name {
+            self.last_life = snapshot.life;
+        }
+        if let Err(why) = snapshot.check(&self.name, self.memory.rules(), now) {
+            return tracing::warn!("recall: its own snapshot is left out: {why}");
+        }
+        let (fills, purges, tally) =
+            self.memory.hear(now, Source::Snapshot, &snapshot.fills, &snapshot.purges);
+        let ago = now.saturating_sub(snapshot.taken) / 10;
+        tracing::info!("recall: from its own snapshot of {ago} ms ago: {tally}");
+        self.found = (fills, purges);
+    }
+
+    pub fn found(&self) -> (Vec<Fill>, Vec<Purge>) {
+        self.found.clone()
+    }
+
+    pub fn saw(&mut self, seen: &[Learned]) {
+        let now = clock::unix();
+        self.changed |= !seen.is_empty();
+        for seen in seen {
+            match *seen {
+                Learned::Fill(fill) => self.memory.saw(now, fill),
+                Learned::Purge(purge) => self.memory.purged(now, purge),
+            }
+        }
+    }
+
+    /// When a snapshot is due.
+    pub fn due(&self) -> Tenths {
+        self.written + self.own.write_ms * 10
+    }
+
+    /// Writes a snapshot, if there is anything new.
+    pub fn write(&mut self, now: Tenths, life: u64) {
+        self.written = now;
+        let Some(store) = self.store.as_ref().filter(|_| self.changed) else { return };
+        let snapshot = Snapshot::take(&self.memory, &self.name, life, now);
+        let wrote = postcard::to_stdvec(&snapshot)
+            .map_err(|e| Trouble::Failed(e.to_string().into()))
+            .and_then(|bytes| store.write(&[(RECORD, bytes)], &[]));
+        self.changed = wrote.is_err();
+        let failed = wrote.err().map(|t| t.to_string());
+        // The same again and again is one line.
+        if failed != self.failed {
+            match &failed {
+                Some(why) => tracing::error!("recall: no snapshot is written: {why}"),
+                None => tracing::info!("recall: snapshots are written again"),
+            }
+            self.failed = failed;
+        }
+    }
+
+    // ---- neighbours
+
+    /// It has just come back, or woken: those that lived are asked.
+    pub fn ask(&mut self, now: Tenths) {
+        self.asking = Some(Asking::new(&self.name, now));
+        self.tally = Tally::default();
+    }
+
+    /// What it has seen before a stall is no first-hand knowledge any more.
+    pub fn slept(&mut self, now: Tenths) {
+        self.memory.slept();
+        self.ask(now);
+    }
+
+    pub fn asks(&self) -> bool {
+        self.asking.as_ref().is_some_and(|a| !a.done)
+    }
+
+    pub fn late(&self) -> Option<Tenths> {
+        self.asking.as_ref().and_then(Asking::due)
+    }
+
+    pub fn step(&mut self, now: Tenths, givers: &[Giver]) -> Vec<Asked> {
+        let Some(asking) = self.asking.as_mut().filter(|a| !a.done) else { return Vec::new() };
+        let asks = asking.step(now, givers);
+        if asking.done {
+            tracing::info!("recall: from neighbours, {} pages: {}", asking.came, self.tally);
+        }
+        asks
+    }
+
+    pub fn page(&mut self, now: Tenths, to: SocketAddrV4, page: u16) -> Gave {
+        if self.asks() { Gave::Nothing } else { self.giving.page(now, to, &self.memory, page) }
+    }
+
+    /// A page that was asked for has come; what of it is new is for the front to hear.
+    pub fn given(
+        &mut self,
+        now: Tenths,
+        from: SocketAddrV4,
+        (page, pages): (u16, u16),
+        fills: &[Fill],
+        purges: &[Purge],
+    ) -> Option<(Vec<Fill>, Vec<Purge>)> {
+        if !self.asking.as_mut()?.given(from, page, pages) {
+            return None;
+        }
+        let (fills, purges, tally) = self.memory.hear(now, Source::Neighbour, fills, purges);
+        self.tally.add(&tally);
+        self.changed = true;
+        Some((fills, purges)).filter(|news| !news.0.is_empty() || !news.1.is_empty())
+    }
+
+    pub fn busy(&mut self, now: Tenths, from: SocketAddrV4, page: u16) {
+        self.asking.iter_mut().for_each(|a| a.busy(now, from, page));
+    }
+
+    pub fn nothing(&mut self, now: Tenths, from: SocketAddrV4, page: u16) {
+        self.asking.iter_mut().for_each(|a| a.nothing(now, from, page));
+    }
+
+    pub fn tells(&self) -> Remembers {
+        let count = |source| self.memory.count(source) as u64;
+        let asking = self.asking.as_ref();
+        Remembers {
+            own: count(Source::Own),
+            snapshot: count(Source::Snapshot),
+            neighbours: count(Source::Neighbour),
+            purges: self.memory.purges() as u64,
+            given: self.giving.given,
+            turned_down: self.giving.refused,
+            came: asking.map_or(0, |a| a.came),
+            lost: asking.map_or(0, |a| a.lost),
+            done: asking.is_none_or(|a| a.done),
+        }
+    }
+}
--- a/crates/front/src/neighbours.rs
+++ b/crates/front/src/neighbours.rs
@@ -1,11 +1,13 @@
 //! The thread that speaks with other fronts, and the words that pass. Off unless the operators' settings have it on;
 //! nothing of this is started then.
 //!
-//! It carries datagrams and the time to [`Members`], and decides nothing. Whoever holds the operators' keys may ask how
+//! It carries datagrams and the time to [`Members`], and what is remembered between the front, its store and its
+//! neighbours ([`Remember`]); it decides nothing. Whoever holds the operators' keys may ask how
 //! it stands, which is what `doorgrade neighbours` does.
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
+use std::sync::mpsc::Sender;
 use std::time::Duration;
 
 use doorgrade::Tenths;
@@ -13,27 +15,58 @@
 use doorgrade_members::{Do, Id, Members, Seen, Settings, Standing, State};
 use doorgrade_operator::files;
 use doorgrade_operator::neighbours::Neighbours;
+use doorgrade_recall::{Fill, Gave, Giver, Purge};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use tokio::sync::{mpsc as queue, oneshot};
 use tokio::time::{sleep, timeout};
 
 use crate::clock;
+use crate::config::Config;
+use crate::conn::Event;
+use crate::memory::{self, Remember, Remembers};
+use crate::reducer::Learned;
 use crate::side::Side;
 use crate::versions::{LOOK_EACH, read_keys};
 
 /// The first byte of what is said under a seal.
 const OF_MEMBERS: u8 = 0;
-const OF_STATUS: u8 = 1;
+const OF_FRONTS: u8 = 1;
 /// Rows of a status in one datagram: with the longest names they fill it.
 const ROWS: usize = 7;
 /// Pages of status in a second at the most: people and their scripts.
 const MOST_PAGES: u32 = 100;
 
-/// What a status is asked, and answered, page by page.
+/// What fronts and commands say to a front, page by page. Later words are put at the end.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 enum Word {
-    Ask { number: u32, page: u16 },
-    Answer { number: u32, page: u16, pages: u16, status: Status },
+    /// How does it stand?
+    Ask {
+        number: u32,
+        page: u16,
+    },
+    Answer {
+        number: u32,
+        page: u16,
+        pages: u16,
+        status: Status,
+    },
+    /// What does it remember?
+    Recall {
+        page: u16,
+    },
+    Page {
+        page: u16,
+        pages: u16,
+        fills: Vec<Fill>,
+        purges: Vec<Purge>,
+    },
+    Busy {
+        page: u16,
+    },
+    Nothing {
+        page: u16,
+    },
 }
 
 /// How a front stands among others.
@@ -45,6 +78,8 @@
     pub said: u64,
     pub kept: u64,
     pub refused: u64,
+    /// None where nothing is remembered.
+    pub memory: Option<Remembers>,
     pub rows: Vec<Row>,
 }
 
@@ -83,8 +118,13 @@
     }
 }
 
-/// What a front is told at its start, checked.
-pub struct Told {
+/// What a front is told at its start of all that this thread does, checked and opened.
+pub struct Beside {
+    told: Option<Told>,
+    remember: Option<Remember>,
+}
+
+struct Told {
     own: Neighbours,
     name: String,
     seed: u64,
@@ -98,7 +138,7 @@
 
 impl Told {
     /// Reads the keys; a front that could not speak to its neighbours does not start as if it had none.
-    pub fn read(own: Neighbours, settings: &Path, name: &str, seed: u64) -> Result<Told, String> {
+    fn read(own: Neighbours, settings: &Path, name: &str, seed: u64) -> Result<Told, String> {
         let seal_keys = files::beside(settings, &own.seal_keys);
         let secrets = read_keys(&seal_keys).map_err(fault)?;
         if name.len() > doorgrade_members::MOST_NAME {
@@ -110,47 +150,77 @@
         }
         Ok(Told { own, name: name.into(), seed, seal_keys, secrets })
     }
+}
+
+/// Batches of what was seen that may wait to be remembered: some tenths of a second at a busy front.
+const MOST_BATCHES: usize = 1_024;
+
+impl Beside {
+    /// None where all of it is off.
+    pub fn read(config: &Config, settings: &Path) -> Result<Option<Beside>, String> {
+        let own = &config.files.settings;
+        let told =
+            own.neighbours.clone().map(|n| Told::read(n, settings, &config.name, config.seed)).transpose()?;
+        let remember = own.recall.clone().map(|recall| {
+            let told = &config.told.settings;
+            let rules = memory::rules(&told.offerings, told.purge_done, recall.most);
+            Remember::open(recall, settings, &config.name, rules)
+        });
+        Ok((told.is_some() || remember.is_some()).then_some(Beside { told, remember }))
+    }
 
-    /// Binds the socket and starts the thread.
-    pub fn start(self) -> Result<Side, String> {
-        let socket = std::net::UdpSocket::bind(self.own.listen)
-            .and_then(|socket| socket.set_nonblocking(true).map(|()| socket))
-            .map_err(|e| fault(format_args!("key 'listen': {}: {e}", self.own.listen)))?;
-        tracing::info!("neighbours: reached at {}", self.own.address);
+    /// What it remembers from before, for the front to hear before it serves.
+    pub fn known(&self) -> (Vec<Fill>, Vec<Purge>) {
+        self.remember.as_ref().map(Remember::found).unwrap_or_default()
+    }
+
+    /// Binds the socket and starts the thread. What the front sees from now on goes to `learned`.
+    pub fn start(
+        mut self,
+        events: Sender<Event>,
+        learned: &mut Option<queue::Sender<Vec<Learned>>>,
+    ) -> Result<Side, String> {
+        let now = clock::unix();
+        let life = (now / 10).max(self.remember.as_ref().map_or(0, |r| r.last_life.saturating_add(1)));
+        let bind = |told: Told| {
+            let socket = std::net::UdpSocket::bind(told.own.listen)
+                .and_then(|socket| socket.set_nonblocking(true).map(|()| socket))
+                .map_err(|e| fault(format_args!("key 'listen': {}: {e}", told.own.listen)))?;
+            tracing::info!("neighbours: reached at {}", told.own.address);
+            Ok::<_, String>((told, socket))
+        };
+        let wire = self.told.map(bind).transpose()?;
+        let (to, came) = queue::channel(MOST_BATCHES);
+        *learned = self.remember.is_some().then_some(to);
+        if wire.is_some() {
+            self.remember.iter_mut().for_each(|r| r.ask(now));
+        }
         Side::start("neighbours", move |stopped| async move {
-            let socket = match UdpSocket::from_std(socket) {
-                Ok(socket) => socket,
+            let wire = match wire.map(|(told, socket)| Wire::new(told, socket, life)).transpose() {
+                Ok(wire) => wire,
                 Err(e) => return tracing::error!("neighbours: {e}"),
             };
-            let mut speaks = Speaks::new(self, socket);
-            tokio::select! {
-                () = speaks.run() => {}
-                _ = stopped => {}
-            }
+            Speaks { wire, remember: self.remember, events, life, pages: (0.0, now) }
+                .run(came, stopped)
+                .await;
         })
     }
 }
 
-struct Speaks {
+/// The socket, and who is at the other end.
+struct Wire {
     told: Told,
     keys: Keys,
     socket: UdpSocket,
     members: Members,
-    /// Pages of status that may still be said, and when that was reckoned.
-    pages: (f64, Tenths),
 }
 
-impl Speaks {
-    fn new(told: Told, socket: UdpSocket) -> Speaks {
-        let now = clock::unix();
+impl Wire {
+    fn new(told: Told, socket: std::net::UdpSocket, life: u64) -> std::io::Result<Wire> {
+        let socket = UdpSocket::from_std(socket)?;
         let own = &told.own;
-        let id = Id {
-            name: told.name.as_str().into(),
-            station: own.station.clone(),
-            at: own.address,
-            life: now / 10,
-            again: 0,
-        };
+        let (name, station) = (told.name.as_str().into(), own.station.clone());
+        let id = Id { name, station, at: own.address, life, again: 0 };
         let settings = Settings {
             seeds: own.seeds.clone(),
             about: own.about,
@@ -160,101 +230,196 @@
         // Fronts of one seed, as a configuration may give them, are not to do all in step.
         let seed = told.seed ^ doorgrade::hash::text(&format!("{} {}", told.name, id.life));
         let keys = Keys::new(&told.secrets);
-        Speaks { members: Members::new(id, settings, seed, now), keys, socket, told, pages: (0.0, now) }
+        Ok(Wire { members: Members::new(id, settings, seed, clock::unix()), keys, socket, told })
+    }
+
+    /// Lost, or the buffer full: as any datagram may be.
+    async fn say(&self, to: SocketAddrV4, kind: u8, said: &[u8]) {
+        if let Some(bytes) = self.keys.seal(to, &[&[kind], said].concat()) {
+            let _ = self.socket.send_to(&bytes, SocketAddr::V4(to)).await;
+        }
+    }
+
+    async fn word(&self, to: SocketAddrV4, word: &Word) {
+        if let Ok(said) = postcard::to_stdvec(word) {
+            self.say(to, OF_FRONTS, &said).await;
+        }
+    }
+
+    /// Who may have memory: those that are there.
+    fn givers(&self) -> Vec<Giver> {
+        let up = self.members.seen().into_iter().filter(|s| s.state == State::Up);
+        up.map(|s| Giver { at: s.id.at, near: s.id.station == self.told.own.station }).collect()
+    }
+
+    /// Keys that have changed hands meanwhile.
+    fn look(&mut self) {
+        match read_keys(&self.told.seal_keys) {
+            Ok(new) if new != self.told.secrets => {
+                tracing::info!("neighbours: the seal keys were read anew");
+                self.keys = Keys::new(&new);
+                self.told.secrets = new;
+            }
+            // One that is being written is looked at again.
+            Ok(_) | Err(_) => {}
+        }
+    }
+}
+
+struct Speaks {
+    wire: Option<Wire>,
+    remember: Option<Remember>,
+    events: Sender<Event>,
+    life: u64,
+    /// Pages of status that may still be said, and when that was reckoned.
+    pages: (f64, Tenths),
+}
+
+/// A datagram; never where there is no socket.
+async fn come(wire: Option<&Wire>, bytes: &mut [u8]) -> std::io::Result<(usize, SocketAddr)> {
+    match wire {
+        Some(wire) => wire.socket.recv_from(bytes).await,
+        None => std::future::pending().await,
     }
+}
 
-    async fn run(&mut self) {
+impl Speaks {
+    async fn run(&mut self, mut learned: queue::Receiver<Vec<Learned>>, mut stopped: oneshot::Receiver<()>) {
         // One byte more than may come: what is longer is no word of ours.
         let mut bytes = [0; 1_501];
         let mut look = tokio::time::interval(LOOK_EACH);
         loop {
-            let wait = Duration::from_micros(self.members.next().saturating_sub(clock::unix()) * 100);
+            let now = clock::unix();
+            let dues = [
+                self.wire.as_ref().map(|w| w.members.next()),
+                self.remember.as_ref().map(Remember::due),
+                self.remember.as_ref().and_then(Remember::late),
+            ];
+            let due = dues.into_iter().flatten().min().unwrap_or(now + 10_000);
+            let wait = Duration::from_micros(due.saturating_sub(now) * 100);
             tokio::select! {
-                came = self.socket.recv_from(&mut bytes) => match came {
+                came = come(self.wire.as_ref(), &mut bytes) => match came {
                     Ok((count, SocketAddr::V4(from))) => self.hear(from, &bytes[..count]).await,
                     Ok(_) => {}
                     // Word that a datagram of ours found nobody; detection sees that by itself.
                     Err(e) => tracing::debug!("neighbours: {e}"),
                 },
-                () = sleep(wait) => self.members.tick(clock::unix()),
-                _ = look.tick() => self.look(),
+                Some(seen) = learned.recv() => self.remember.iter_mut().for_each(|r| r.saw(&seen)),
+                () = sleep(wait) => {}
+                _ = look.tick() => self.wire.iter_mut().for_each(Wire::look),
+                _ = &mut stopped => {
+                    // What it knows now is worth most to the start that follows.
+                    return self.remember.iter_mut().for_each(|r| r.write(clock::unix(), self.life));
+                }
             }
-            self.perform().await;
+            self.tick().await;
         }
     }
 
-    async fn hear(&mut self, from: SocketAddrV4, bytes: &[u8]) {
-        match self.keys.open(self.told.own.address, bytes) {
-            Ok([OF_MEMBERS, said @ ..]) => self.members.hear(clock::unix(), said),
-            Ok([OF_STATUS, said @ ..]) => {
-                if let Ok(Word::Ask { number, page }) = postcard::from_bytes(said) {
-                    self.answer(from, number, page).await;
+    /// Whatever is due.
+    async fn tick(&mut self) {
+        let now = clock::unix();
+        if let Some(wire) = self.wire.as_mut().filter(|w| w.members.next() <= now) {
+            wire.members.tick(now);
+        }
+        self.perform().await;
+        if let Some(remember) = &mut self.remember {
+            if remember.due() <= now {
+                remember.write(now, self.life);
+            }
+            if let Some(wire) = self.wire.as_ref().filter(|_| remember.asks()) {
+                for asked in remember.step(now, &wire.givers()) {
+                    wire.word(asked.to, &Word::Recall { page: asked.page }).await;
                 }
             }
-            Ok(_) => self.members.refused += 1,
+        }
+    }
+
+    async fn hear(&mut self, from: SocketAddrV4, bytes: &[u8]) {
+        let Some(wire) = &mut self.wire else { return };
+        match wire.keys.open(wire.told.own.address, bytes) {
+            Ok([OF_MEMBERS, said @ ..]) => wire.members.hear(clock::unix(), said),
+            Ok([OF_FRONTS, said @ ..]) => match postcard::from_bytes(said) {
+                Ok(word) => self.word(from, word).await,
+                Err(_) => wire.members.refused += 1,
+            },
+            Ok(_) => wire.members.refused += 1,
             Err(why) => {
-                self.members.refused += 1;
+                wire.members.refused += 1;
                 tracing::debug!("neighbours: a datagram from {from} is refused: {why:?}");
             }
         }
     }
 
+    async fn word(&mut self, from: SocketAddrV4, word: Word) {
+        let now = clock::unix();
+        match word {
+            Word::Ask { number, page } => self.answer(from, number, page).await,
+            // Whoever asked is a command, and no front.
+            Word::Answer { .. } => {}
+            Word::Recall { page } => {
+                let Some((wire, remember)) = self.wire.as_ref().zip(self.remember.as_mut()) else { return };
+                let word = match remember.page(now, from, page) {
+                    Gave::Page { pages, fills, purges } => Word::Page { page, pages, fills, purges },
+                    Gave::Busy => Word::Busy { page },
+                    Gave::Nothing => Word::Nothing { page },
+                };
+                wire.word(from, &word).await;
+            }
+            Word::Page { page, pages, fills, purges } => {
+                let Some(remember) = &mut self.remember else { return };
+                if let Some((fills, purges)) = remember.given(now, from, (page, pages), &fills, &purges) {
+                    let _ = self.events.send(Event::Recall(fills, purges));
+                }
+            }
+            Word::Nothing { page } => {
+                self.remember.iter_mut().for_each(|r| r.nothing(now, from, page));
+            }
+            Word::Busy { page } => self.remember.iter_mut().for_each(|r| r.busy(now, from, page)),
+        }
+    }
+
     async fn answer(&mut self, to: SocketAddrV4, number: u32, page: u16) {
         let now = clock::unix();
         let most = f64::from(MOST_PAGES);
         let come = now.saturating_sub(self.pages.1) as f64 / 10_000.0 * most;
         self.pages = ((self.pages.0 + come).min(most) - 1.0, now);
-        if self.pages.0 < 0.0 {
-            return;
-        }
-        let seen = self.members.seen();
+        let Some(wire) = self.wire.as_ref().filter(|_| self.pages.0 >= 0.0) else { return };
+        let members = &wire.members;
+        let seen = members.seen();
         let pages = seen.len().div_ceil(ROWS).max(1) as u16;
         let rows =
             seen.into_iter().skip(usize::from(page) * ROWS).take(ROWS).map(|s| Row::of(s, now)).collect();
-        let (said, kept) = self.members.words();
-        let standing = match self.members.standing() {
+        let (said, kept) = members.words();
+        let standing = match members.standing() {
             Standing::Alone => Place::Alone,
             Standing::Doubts => Place::Doubts,
             Standing::Among => Place::Among,
         };
-        let own = self.members.own().clone();
-        let status = Status { own, standing, said, kept, refused: self.members.refused, rows };
-        let word = Word::Answer { number, page, pages, status };
-        if let Some(bytes) = sealed(&self.keys, to, &word) {
-            let _ = self.socket.send_to(&bytes, SocketAddr::V4(to)).await;
-        }
+        let (own, refused) = (members.own().clone(), members.refused);
+        let memory = self.remember.as_ref().map(Remember::tells);
+        let status = Status { own, standing, said, kept, refused, memory, rows };
+        wire.word(to, &Word::Answer { number, page, pages, status }).await;
     }
 
     async fn perform(&mut self) {
-        for done in self.members.take() {
+        let Some(wire) = &mut self.wire else { return };
+        for done in wire.members.take() {
             match done {
-                Do::Send { to, said } => {
-                    if let Some(bytes) = self.keys.seal(to, &[&[OF_MEMBERS], &*said].concat()) {
-                        // Lost, or the buffer full: as any datagram may be.
-                        let _ = self.socket.send_to(&bytes, SocketAddr::V4(to)).await;
+                Do::Send { to, said } => wire.say(to, OF_MEMBERS, &said).await,
+                Do::Tell(event) => {
+                    tracing::info!("neighbours: {event}");
+                    if matches!(event, doorgrade_members::Event::Slept(_)) {
+                        self.remember.iter_mut().for_each(|r| r.slept(clock::unix()));
                     }
                 }
-                Do::Tell(event) => tracing::info!("neighbours: {event}"),
             }
         }
     }
-
-    /// Keys that have changed hands meanwhile.
-    fn look(&mut self) {
-        match read_keys(&self.told.seal_keys) {
-            Ok(new) if new != self.told.secrets => {
-                tracing::info!("neighbours: the seal keys were read anew");
-                self.keys = Keys::new(&new);
-                self.told.secrets = new;
-            }
-            // One that is being written is looked at again.
-            Ok(_) | Err(_) => {}
-        }
-    }
 }
 
 fn sealed(keys: &Keys, to: SocketAddrV4, word: &Word) -> Option<Vec<u8>> {
-    let said = postcard::to_extend(word, vec![OF_STATUS]).ok()?;
+    let said = postcard::to_extend(word, vec![OF_FRONTS]).ok()?;
     keys.seal(to, &said)
 }
 
@@ -289,7 +454,7 @@
                 continue;
             };
             let word = keys.open(own, &bytes[..count]).ok().and_then(|said| match said {
-                [OF_STATUS, said @ ..] => postcard::from_bytes(said).ok(),
+                [OF_FRONTS, said @ ..] => postcard::from_bytes(said).ok(),
                 _ => None,
             });
             if let Some(Word::Answer { number: n, page: p, pages, status }) = word
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use doorgrade::{AccessId, Ended, Front, Member, Offering, Outcome, Standing, Tenths};
+use doorgrade_recall::{Fill, Purge};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::answer::Reply;
@@ -57,6 +58,15 @@
     /// Clients are told to go elsewhere, or not any more; all that they ask is still taken.
     Drain(bool),
     Reload(Box<Renewal>),
+    /// What was known before the start, or is known to neighbours, and holds.
+    Recall(Vec<Fill>, Vec<Purge>),
+}
+
+/// What the front has seen itself, for whoever remembers it. Times are the system's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learned {
+    Fill(Fill),
+    Purge(Purge),
 }
 
 /// One thing to do.
@@ -179,11 +189,14 @@
     ahead: Tenths,
     /// Parents in tiers, where operators have said so.
     tiers: Option<Tiers>,
+    /// What was seen since it was asked last; none where nobody remembers it.
+    learned: Option<Vec<Learned>>,
 }
 
 impl Reducer {
     pub fn new(config: Config, now: Tenths) -> Self {
         let tiers = Tiers::new(&config, now);
+        let learned = config.files.settings.recall.as_ref().map(|_| Vec::new());
         let Config { told, limits, known: (number, events), names, feed, seed, files, whole, .. } = config;
         let effects = told.settings.offerings.iter().map(|o| o.effect != doorgrade::Effect::Unrepeatable);
         let mut reducer = Reducer {
@@ -222,6 +235,7 @@
                 complained_at: 0,
                 ahead: 0,
                 tiers,
+                learned,
             },
         };
         reducer.work.take_shape(&files.shape, whole);
@@ -246,6 +260,10 @@
         self.work.effects.drain(..)
     }
 
+    pub fn learned(&mut self) -> Vec<Learned> {
+        self.work.learned.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
     pub fn served(&self) -> Served {
         self.work.served
     }
@@ -290,6 +308,7 @@
             Input::Closed(conn) => self.work.closed(conn),
             Input::Tick => {}
             Input::Reload(renewal) => self.work.reload(&renewal),
+            Input::Recall(fills, purges) => self.recall(&fills, &purges),
             Input::Drain(on) => {
                 if std::mem::replace(&mut self.work.drains, on) != on {
                     tracing::info!(
@@ -335,6 +354,14 @@
             let (now, outcome, note) = (self.work.now, got.outcome, got.note);
             let taken = self.work.accesses.get(&id);
             let lag = taken.and_then(|t| t.sent.get(push)).map_or(0, |s| now.saturating_sub(s.at));
+            if outcome == Outcome::Handled
+                && let Some((ms, taken)) = got.made_at.zip(taken)
+                && self.work.learned.is_some()
+            {
+                let at = now.saturating_sub(self.work.ahead);
+                let fill = fill(&self.work.offerings, &taken.request, ms, at);
+                self.work.learned.iter_mut().for_each(|learned| learned.push(Learned::Fill(fill)));
+            }
             if outcome == Outcome::Handled && taken.is_some_and(|t| !t.done) {
                 let (tag, same) = (got.tag.as_deref(), got.status == 304);
                 self.work.answer(id, Reply { tag, same, body: got.body, ..Reply::bare(200) });
@@ -383,13 +410,31 @@
                 self.work.recall(|_, sent| sent.names.iter().any(leaves));
             }
             feed::Event::Purge { object, group, at } => {
-                self.front.purged(now, object, group, now.saturating_sub(at + self.work.ahead));
-                let of = |r: &Request| object.map_or(r.group == group, |o| r.object == o);
-                self.work.recall(|taken, _| of(&taken.request));
+                if let Some(seen) = &mut self.work.learned {
+                    seen.push(Learned::Purge(Purge { object, group: group as u16, at }));
+                }
+                self.purged(object, group, at);
             }
         }
     }
 
+    fn purged(&mut self, object: Option<u64>, group: u64, at: Tenths) {
+        let now = self.work.now;
+        self.front.purged(now, object, group, now.saturating_sub(at.saturating_add(self.work.ahead)));
+        let of = |r: &Request| object.map_or(r.group == group, |o| r.object == o);
+        self.work.recall(|taken, _| of(&taken.request));
+    }
+
+    /// Memory from before the start, or of others. What was seen since goes before it, in the module.
+    fn recall(&mut self, fills: &[Fill], purges: &[Purge]) {
+        let (now, ahead) = (self.work.now, self.work.ahead);
+        purges.iter().for_each(|p| self.purged(p.object, u64::from(p.group), p.at));
+        for f in fills {
+            let moved = |at: Tenths| at.saturating_add(ahead);
+            self.front.recall(now, (f.object, f.part), moved(f.made), moved(f.seen));
+        }
+    }
+
     fn feed_read(&mut self, conn: ConnId, mut ring: Ring, ended: bool) {
         loop {
             match self.work.feed.take(&mut ring, &self.work.names, self.work.now) {
@@ -447,6 +492,13 @@
     }
 }
 
+/// An answer has told how old its copy is.
+fn fill(offerings: &[(String, bool)], r: &Request, made_ms: u64, seen: Tenths) -> Fill {
+    let offering = offerings.iter().position(|o| *o.0 == *r.offering).unwrap_or(0) as u16;
+    let (object, part, group, made) = (r.object, r.part, r.group as u16, made_ms.saturating_mul(10));
+    Fill { offering, object, part, group, made, seen }
+}
+
 impl Work {
     fn due(&mut self) -> Option<Timer> {
         let at = self.timers.next()?;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -11,14 +11,14 @@
 use doorgrade_operator::{Version, files, settings};
 use rustc_hash::FxHashMap;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc as queue, oneshot};
 
 use crate::accept;
 use crate::clock::Clock;
 use crate::config::{Config, Renewal};
 use crate::conn::{self, ConnId, Event, Port};
-use crate::neighbours::Told;
-use crate::reducer::{Effect, Input, Made, Reducer};
+use crate::neighbours::Beside;
+use crate::reducer::{Effect, Input, Learned, Made, Reducer};
 use crate::side::Side;
 use crate::versions::{Kept, Served};
 
@@ -63,9 +63,7 @@
     // Before anything else: a version that is kept is what this start runs.
     let kept = config.files.settings.versions.clone().map(|own| Kept::open(own, &place, &config));
     let version = kept.as_ref().and_then(|kept| kept.version.clone());
-    let neighbours = config.files.settings.neighbours.clone();
-    let neighbours =
-        neighbours.map(|own| Told::read(own, &settings, &config.name, config.seed)).transpose()?;
+    let beside = Beside::read(&config, &settings)?;
     let first = config.clone();
     let config = match &version {
         Some(version) => config.overlaid(version),
@@ -74,6 +72,7 @@
     let in_use: Shared = Arc::new(Mutex::new(InUse { place, first, version, events: events.clone() }));
     heed_signals(in_use.clone()).map_err(|e| format!("signals: {e}"))?;
     let (listen, name) = (config.listen, config.name.clone());
+    let known = beside.as_ref().map(Beside::known);
     let within = Duration::from_micros(config.told.connect_within * 100);
     let mut clock = Clock::default();
     let served = Arc::new(Served::default());
@@ -84,13 +83,20 @@
         events,
         taken: None,
         served: kept.is_some().then(|| served.clone()),
+        learned: None,
     };
+    if let Some((fills, purges)) = known {
+        driver.reducer.input(clock.now(), Input::Recall(fills, purges));
+    }
     let local =
         accept::listen(listen, driver.events.clone()).map_err(|e| format!("key 'listen': {listen}: {e}"))?;
     tracing::info!("{name} listens on {local}");
     driver.reducer.input(clock.now(), Input::Listening);
     let follows = kept.map(|kept| kept.follow(name, in_use, served)).transpose()?;
-    let speaks = neighbours.map(Told::start).transpose()?;
+    let speaks = match beside {
+        Some(beside) => Some(beside.start(driver.events.clone(), &mut driver.learned)?),
+        None => None,
+    };
     driver.run(&mut clock, &happened);
     follows.into_iter().chain(speaks).for_each(Side::stop);
     tracing::info!("ends; at the most: {:?}", driver.reducer.most());
@@ -190,6 +196,8 @@
     taken: Option<oneshot::Sender<()>>,
     /// Where to put how it serves, if anybody looks.
     served: Option<Arc<Served>>,
+    /// Where to put what was seen, if anybody remembers it.
+    learned: Option<queue::Sender<Vec<Learned>>>,
 }
 
 impl Driver {
@@ -214,6 +222,13 @@
             if let Some(served) = &self.served {
                 served.put(self.reducer.served());
             }
+            if let Some(to) = &self.learned {
+                let seen = self.reducer.learned();
+                if !seen.is_empty() {
+                    // Whoever remembers is behind: it does without. Nothing here waits for it.
+                    let _ = to.try_send(seen);
+                }
+            }
         }
     }
 
@@ -238,6 +253,7 @@
             Event::Closed(conn) => Input::Closed(conn),
             Event::Stop => Input::Stop,
             Event::Drain(on) => Input::Drain(on),
+            Event::Recall(fills, purges) => Input::Recall(fills, purges),
             Event::Reload(renewal) => {
                 doorgrade_log::set_level(renewal.log);
                 Input::Reload(renewal)
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -6,8 +6,10 @@
 use doorgrade_front::bounds::Bounds;
 use doorgrade_front::config::{Limits, Renewal};
 use doorgrade_front::fastcgi;
-use doorgrade_front::reducer::Input;
-use doorgrade_operator::Files;
+use doorgrade_front::reducer::{Input, Learned};
+use doorgrade_operator::neighbours::Recall;
+use doorgrade_operator::{Files, Settings};
+use doorgrade_recall::{Fill, Purge};
 use helper::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -534,6 +536,38 @@
     }
 }
 
+#[test]
+fn memory_is_heard_before_the_front_serves_and_what_it_sees_is_told() {
+    let recall = Some(Recall { store: "s".into(), write_ms: 1_000, most: 100, pages: 1 });
+    let files = Files { settings: Settings { recall, ..Settings::default() }, ..Files::default() };
+    let mut w = World::with(1, 128, files);
+    let client = w.client();
+    let fill = Fill { offering: 0, object: 5, part: 0, group: 1, made: w.now - 70_000, seen: w.now - 10 };
+    let purge = Purge { object: Some(6), group: 2, at: w.now - 10_000 };
+    w.input(Input::Recall(vec![fill], vec![purge]));
+    w.ask(client, 1, 1, 0, 5, 1_000);
+    w.ask(client, 2, 2, 0, 6, 1_000);
+    assert!(w.reducer.learned().is_empty());
+    serve(&mut w);
+    assert!(w.heads[&1].contains("revalidate"), "it is known to be about to end");
+    // Nothing older than the purge, a millisecond up: both times were rounded down.
+    assert!(w.heads[&2].contains("No-Older-Than: 999"), "{}", w.heads[&2]);
+    let made = w.now / 10 * 10;
+    let own = |object, group| Learned::Fill(Fill { offering: 0, object, part: 0, group, made, seen: w.now });
+    let mut learned = w.reducer.learned();
+    learned.sort_by_key(|l| match l {
+        Learned::Fill(f) => f.object,
+        Learned::Purge(_) => 0,
+    });
+    assert_eq!(learned, [own(5, 1), own(6, 2)]);
+    // A purge of the feed is remembered, too; nothing is kept for nobody.
+    w.purge(2, Some(5), 1);
+    assert!(matches!(w.reducer.learned()[..], [Learned::Purge(Purge { object: Some(5), .. })]));
+    let mut plain = World::new(1, 128);
+    plain.purge(2, Some(5), 1);
+    assert!(plain.reducer.learned().is_empty());
+}
+
 #[test]
 fn clients_that_vanish_give_their_descriptors_back() {
     let mut w = World::new(1, 128);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -88,6 +88,9 @@
         /// The program to measure; the one beside this by default
         #[arg(long)]
         front: Option<std::path::PathBuf>,
+        /// How many fronts, one run for each; 20, or 10 with --quick
+        #[arg(long, value_delimiter = ',')]
+        fronts: Vec<usize>,
         /// Loads second by second, on standard error
         #[arg(long)]
         timeline: bool,
@@ -145,7 +148,9 @@
             (how.clone(), figures)
         }
         Subject::Fleet { how, front } => (how.clone(), fleet::run(&how, front)),
-        Subject::Return { how, front, timeline } => (how.clone(), returns::run(&how, front, timeline)),
+        Subject::Return { how, front, fronts, timeline } => {
+            (how.clone(), returns::run(&how, front, &fronts, timeline))
+        }
         Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
--- a/crates/lab/src/returns.rs
+++ b/crates/lab/src/returns.rs
@@ -1,17 +1,25 @@
-//! Fronts that come back: many real fronts on loopback before one set of caches, seven in ten killed at once under
-//! load and started again a second later.
+//! Fronts that come back: many real fronts on loopback before one set of caches. Seven in ten are killed at once under
+//! load and start again a second later; then all are. The archive has a stated capacity, three trunk caches stand before
+//! it, and words between fronts go over links that take some milliseconds and lose some.
 //!
-//! What is told apart in one run: caches that say how old their copies are (`Made-At`), as the protocol's page has
-//! it, and the same program before caches that don't say, where it knows what it knew before: the fills that each
-//! front saw itself. Renewals, waits and the archive's load are counted at the stand-ins.
+//! What is told apart in one run:
+//!
+//! - `untold_`: caches that don't say how old their copies are, so that a front knows what it knew before: the fills
+//!   that it saw itself. The first baseline.
+//! - no prefix, or `alone_` beside others: the estimate from `Made-At`; the program without memory.
+//! - `snapshot_`, `neighbours_`, `memory_`: with each source of memory, and with both.
+//!
+//! Renewals, waits and the archive's load are counted at the stand-ins.
 
 use std::collections::HashMap;
+use std::net::UdpSocket;
 use std::path::{Path, PathBuf};
 use std::sync::RwLock;
 use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
 
 use doorgrade_hierarchy::homes::{Home, first};
+use doorgrade_standins::links::{ANY, Links, Way};
 use doorgrade_standins::member::Answered;
 use doorgrade_standins::{Directory, Feed, Member, Role, Spec, unix_ms};
 use fastrand::Rng;
@@ -28,14 +36,43 @@
 const OBJECTS: usize = 400;
 /// Accesses a second, over all fronts.
 const RATE: f64 = 800.0;
-const CACHES: usize = 4;
+const CACHES: usize = 8;
+const TRUNKS: [&str; 3] = ["s-000000a1", "s-000000a2", "s-000000a3"];
 const ARCHIVE: &str = "s-000000ff";
+/// What the archive works on at once, 25 ms each: 480 requests a second, some eight times the calm.
+const ARCHIVE_AT_ONCE: usize = 12;
+/// Words between fronts.
+const LINK: Way = Way { delay_ms: 5, jitter_ms: 10, loss: 0.02, ..WHOLE };
+const WHOLE: Way =
+    Way { cut: false, delay_ms: 0, jitter_ms: 0, bytes_per_s: 0, reset_after: None, loss: 0.0, twice: 0.0 };
+
+/// What is told apart.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Variant {
+    name: &'static str,
+    /// Caches say how old their copies are.
+    told: bool,
+    snapshot: bool,
+    neighbours: bool,
+}
+
+const fn variant(name: &'static str, told: bool, snapshot: bool, neighbours: bool) -> Variant {
+    Variant { name, told, snapshot, neighbours }
+}
+
+const VARIANTS: [Variant; 5] = [
+    variant("untold", false, false, false),
+    variant("alone", true, false, false),
+    variant("snapshot", true, true, false),
+    variant("neighbours", true, false, true),
+    variant("memory", true, true, true),
+];
 /// Dead ones start again after so long.
 const DOWN_MS: f64 = 1_000.0;
 /// Service is full when so long a time has gone by as it did on calm days.
 const FULL_OVER_MS: f64 = 5_000.0;
 
-/// Seconds: until all is steady, the calm that is measured, and from the kill to the end.
+/// Seconds: until all is steady, the calm that is measured, and from a kill to the next or to the end.
 #[derive(Clone, Copy)]
 struct Times {
     warm: f64,
@@ -74,17 +111,16 @@
     too_old: usize,
     run_twice: usize,
     crashed: usize,
+    /// Parts taken over from memory at starts, and pages given.
+    recalled: u64,
+    pages: usize,
+    words: usize,
 }
 
-fn config(
-    caches: &[Member],
-    archive: &Member,
-    feed: &Feed,
-    fronts: usize,
-    front: usize,
-    seed: u64,
-) -> String {
+fn config(site: &Site, fronts: usize, front: usize, seed: u64) -> String {
+    let Site { caches, trunks, archive, feed } = site;
     let mut members: Vec<_> = caches.iter().map(|m| rig::listed(m, "one", "cache")).collect();
+    members.extend(trunks.iter().map(|m| rig::listed(m, "hub", "trunk")));
     members.push(rig::listed(archive, "hub", "archive"));
     let settings = json!({
         "zone": 0, "fleetSize": fronts, "quantum": 2.0, "localities": ["one", "hub"],
@@ -104,40 +140,109 @@
     .to_string()
 }
 
-fn one(seed: u64, times: Times, program: &Path, fronts: usize, told: bool) -> Result<Outcome, String> {
-    let folder = Folder::new(&format!("return-{seed}-{fronts}-{told}"))?;
-    let directory = Directory::default();
-    let start = |id: &str, role, lag_ms| {
-        let fresh_ms = HashMap::from([(CLASSES[0].name.to_owned(), FRESH_MS)]);
-        let lag = Duration::from_millis(lag_ms);
-        let spec = Spec { lag, fresh_ms, tells_made: told, ..Spec::new(id, "127.0.0.1:0", role) };
-        Member::start(spec, &directory).map_err(|e| e.to_string())
-    };
-    let archive = start(ARCHIVE, Role::Archive, 25)?;
-    let caches = (0..CACHES).map(|n| start(&format!("s-{n:08x}"), Role::Cache, 2));
-    let caches = caches.collect::<Result<Vec<_>, _>>()?;
-    // Caches hold, at the start, what they would after some hours: each object at its home, at any age.
-    let mut ages = Rng::with_seed(seed ^ 0xa9e5);
-    let homes: Vec<Home> = caches.iter().map(|c| Home::named(&c.id, 1.0)).collect();
-    for key in 1..=OBJECTS as u64 {
-        let home = first(&homes, key).map(|h| h.key);
-        let home = caches.iter().find(|c| Some(doorgrade::hash::text(&c.id)) == home);
-        let path = format!("/data/{}/{key:016x}/0", CLASSES[0].name);
-        home.into_iter().for_each(|h| h.preload(&path, ages.u64(0..FRESH_MS)));
+struct Site {
+    caches: Vec<Member>,
+    trunks: Vec<Member>,
+    archive: Member,
+    feed: Feed,
+}
+
+impl Site {
+    fn new(seed: u64, told: bool) -> Result<Site, String> {
+        let directory = Directory::default();
+        let start = |id: &str, role, lag_ms, at_once| {
+            let fresh_ms = HashMap::from([(CLASSES[0].name.to_owned(), FRESH_MS)]);
+            let lag = Duration::from_millis(lag_ms);
+            let spec =
+                Spec { lag, fresh_ms, at_once, tells_made: told, ..Spec::new(id, "127.0.0.1:0", role) };
+            Member::start(spec, &directory).map_err(|e| e.to_string())
+        };
+        let archive = start(ARCHIVE, Role::Archive, 25, ARCHIVE_AT_ONCE)?;
+        let trunks = TRUNKS.iter().map(|id| start(id, Role::Trunk, 4, usize::MAX));
+        let trunks = trunks.collect::<Result<Vec<_>, _>>()?;
+        trunks.iter().for_each(|t| t.hang(&[ARCHIVE]));
+        let caches = (1..=CACHES).map(|n| start(&format!("s-{n:08x}"), Role::Cache, 2, usize::MAX));
+        let caches = caches.collect::<Result<Vec<_>, _>>()?;
+        // Caches hold, at the start, what they would after some hours: each object at its home, at any age.
+        let mut ages = Rng::with_seed(seed ^ 0xa9e5);
+        let homes: Vec<Home> = caches.iter().map(|c| Home::named(&c.id, 1.0)).collect();
+        for key in 1..=OBJECTS as u64 {
+            let home = first(&homes, key).map(|h| h.key);
+            let home = caches.iter().find(|c| Some(doorgrade::hash::text(&c.id)) == home);
+            let path = format!("/data/{}/{key:016x}/0", CLASSES[0].name);
+            home.into_iter().for_each(|h| h.preload(&path, ages.u64(0..FRESH_MS)));
+        }
+        let feed = Feed::start("127.0.0.1:0").map_err(|e| e.to_string())?;
+        Ok(Site { caches, trunks, archive, feed })
     }
-    let feed = Feed::start("127.0.0.1:0").map_err(|e| e.to_string())?;
-    let mut configs = Vec::new();
+}
+
+/// Where fronts listen for each other, and where the links have them.
+struct Posts {
+    links: Links,
+    own: Vec<std::net::SocketAddr>,
+    at: Vec<std::net::SocketAddr>,
+}
+
+impl Posts {
+    fn new(seed: u64, fronts: usize) -> std::io::Result<Posts> {
+        let links = Links::new(seed);
+        links.set(ANY, ANY, LINK);
+        // Each a free port, found by taking it for a moment.
+        let taken = (0..fronts).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
+        let own = taken.iter().map(UdpSocket::local_addr).collect::<Result<Vec<_>, _>>()?;
+        drop(taken);
+        let at = own.iter().enumerate().map(|(n, &own)| links.mailbox(&format!("n{n}"), own));
+        Ok(Posts { at: at.collect::<Result<Vec<_>, _>>()?, links, own })
+    }
+
+    fn settings(&self, variant: Variant, front: usize) -> String {
+        let mut text = String::new();
+        if variant.neighbours {
+            let (listen, address, count) = (self.own[front], self.at[front], self.own.len());
+            // The last ones live: as many seeds as would be named.
+            let seeds = [self.at[0], self.at[count / 2], self.at[count - 1]];
+            text += &format!(
+                "neighbours {{\n  enabled = true\n  listen = \"{listen}\"\n  address = \"{address}\"\n  \
+                 seeds = [\"{}\", \"{}\", \"{}\"]\n  station = \"one\"\n  seal_keys = \"seal-keys.hcl\"\n  \
+                 about = {count}\n}}\n",
+                seeds[0], seeds[1], seeds[2]
+            );
+        }
+        if variant.snapshot || variant.neighbours {
+            // Without snapshots of its own: each start finds another store, empty.
+            text +=
+                &format!("recall {{\n  enabled = true\n  store = \"n{front}.redb\"\n  write_ms = 1000\n}}\n");
+        }
+        text
+    }
+}
+
+fn one(seed: u64, times: Times, program: &Path, fronts: usize, variant: Variant) -> Result<Outcome, String> {
+    let folder = Folder::new(&format!("return-{seed}-{fronts}-{}", variant.name))?;
+    let site = Site::new(seed, variant.told)?;
+    let posts = Posts::new(seed, fronts).map_err(|e| e.to_string())?;
+    let secret = format!("key \"1\" {{ secret = \"{}\" }}\n", "5e".repeat(32));
+    folder.put("seal-keys.hcl", &secret)?;
     for front in 0..fronts {
-        let text = config(&caches, &archive, &feed, fronts, front, seed);
-        configs.push(folder.put(&format!("n{front}.json"), &text)?);
+        folder.put(&format!("n{front}.json"), &config(&site, fronts, front, seed))?;
+        folder.put(&format!("n{front}.hcl"), &posts.settings(variant, front))?;
     }
-    let mut running = Vec::new();
-    for config in &configs {
-        running.push(Front::start(program, config, None)?);
+    let start = |front: usize| {
+        if !variant.snapshot {
+            let _ = std::fs::remove_file(folder.path(&format!("n{front}.redb")));
+        }
+        let (config, settings) =
+            (folder.path(&format!("n{front}.json")), folder.path(&format!("n{front}.hcl")));
+        Front::start(program, &config, Some(&settings))
+    };
+    let mut running: Vec<Option<Front>> = Vec::new();
+    for front in 0..fronts {
+        running.push(Some(start(front)?));
     }
     // Where clients go: to fronts that live. They learn of a death at once, so that what is measured is the return.
     let living: RwLock<Vec<Option<std::net::SocketAddr>>> =
-        RwLock::new(running.iter().map(|f| Some(f.at)).collect());
+        RwLock::new(running.iter().map(|f| f.as_ref().map(|f| f.at)).collect());
     let set = |front: usize, at| living.write().unwrap_or_else(|e| e.into_inner())[front] = at;
     let choose = |access: usize| {
         let living = living.read().unwrap_or_else(|e| e.into_inner());
@@ -146,31 +251,48 @@
         let drawn = doorgrade::hash::unit(access as u64, seed);
         up.get((drawn * up.len() as f64) as usize).copied()
     };
-    let kill_ms = (times.warm + times.calm) * 1e3;
-    let plan = plan(seed, kill_ms + times.back * 1e3);
+    let kills = kills(times, fronts);
+    let end = kills.iter().map(|k| k.0).fold(0.0, f64::max) + times.back * 1e3;
+    let plan = plan(seed, end);
     let begun = Instant::now() + Duration::from_millis(100);
     let begun_ms = unix_ms() as f64 + 100.0;
     let at = |ms: f64| {
         let due = begun + Duration::from_secs_f64(ms / 1e3);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
     };
-    let mut crashed = 0;
+    let (mut crashed, mut recalled, mut pages) = (0, 0, 0);
+    let mut look = |front: &Front| {
+        for line in front.lines().iter().filter(|l| l.contains("recall: from ")) {
+            let parts =
+                line.split(": ").find_map(|p| p.split_once(" parts and ")).and_then(|p| p.0.parse().ok());
+            recalled += parts.unwrap_or(0u64);
+            let came = line.split_once("from neighbours, ").and_then(|l| l.1.split(' ').next()?.parse().ok());
+            pages += came.unwrap_or(0usize);
+        }
+    };
     let played = std::thread::scope(|scope| -> Result<rig::Played, String> {
         let player = scope.spawn(|| rig::play_at(&choose, &plan, &CLASSES, begun, 96));
-        at(kill_ms);
-        let dead = fronts * 7 / 10;
-        crashed += running.iter_mut().filter_map(|f| (!f.alive()).then_some(())).count();
-        (0..dead).for_each(|front| set(front, None));
-        running.drain(..dead).for_each(drop);
-        at(kill_ms + DOWN_MS);
-        for (front, config) in configs.iter().enumerate().take(dead) {
-            running.push(Front::start(program, config, None)?);
-            set(front, running.last().map(|f| f.at));
+        for &(kill, dead) in &kills {
+            at(kill);
+            crashed += running.iter_mut().flatten().filter_map(|f| (!f.alive()).then_some(())).count();
+            (0..dead).for_each(|front| set(front, None));
+            for front in running.iter_mut().take(dead) {
+                front.iter().for_each(&mut look);
+                *front = None;
+            }
+            at(kill + DOWN_MS);
+            for (front, runs) in running.iter_mut().enumerate().take(dead) {
+                let started = start(front)?;
+                set(front, Some(started.at));
+                *runs = Some(started);
+            }
         }
         player.join().map_err(|_| "the player failed".to_owned())
     })?;
-    crashed += running.iter_mut().filter_map(|f| (!f.alive()).then_some(())).count();
+    crashed += running.iter_mut().flatten().filter_map(|f| (!f.alive()).then_some(())).count();
+    running.iter().flatten().for_each(look);
     let since = |ms: u64| ms as f64 - begun_ms;
+    let Site { caches, archive, .. } = &site;
     let mut answered: Vec<_> =
         caches.iter().flat_map(|c| c.answered()).map(|a| (since(a.at_ms), a)).collect();
     answered.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -182,9 +304,21 @@
         too_old: caches.iter().map(|m| m.counts().too_old.load(SeqCst)).sum(),
         run_twice: archive.run_twice(CLASSES[1].name),
         crashed,
+        recalled,
+        pages,
+        words: (0..fronts).map(|n| posts.links.sent_by(&format!("n{n}")).datagrams).sum(),
     })
 }
 
+/// When how many of the fronts are killed: the first ones, so that the last live. Alone, a front is not killed.
+fn kills(times: Times, fronts: usize) -> Vec<(f64, usize)> {
+    let first = (times.warm + times.calm) * 1e3;
+    match fronts {
+        1 => vec![(first, 0)],
+        _ => vec![(first, fronts * 7 / 10), (first + times.back * 1e3, fronts)],
+    }
+}
+
 /// What was asked of archive and caches between two times.
 struct Load {
     archive: f64,
@@ -235,68 +369,100 @@
     }
 }
 
-pub fn run(how: &How, front: Option<PathBuf>, timeline: bool) -> Result<Figures, String> {
+/// The archive's busiest second after a time, over a mean.
+fn peak(asked: &[f64], from: f64, to: f64, mean: f64) -> f64 {
+    let count = |at: f64| asked.iter().filter(|&&a| (at..at + 1e3).contains(&a)).count() as f64;
+    let steps = ((to - from - 1e3) / 100.0).max(0.0) as usize;
+    (0..=steps).map(|n| count(from + 100.0 * n as f64)).fold(0.0, f64::max) / f64::max(mean, 1e-9)
+}
+
+fn figures(o: &Outcome, name: &str, times: Times, fronts: usize, figures: &mut Figures) {
+    let name = |figure: &str| format!("{name}_{figure}_{fronts}");
+    let (calm_from, kill) = (times.warm * 1e3, (times.warm + times.calm) * 1e3);
+    let calm = o.load(calm_from, kill);
+    figures.ratio(&name("renewal_share"), calm.renewals_asked);
+    figures.ratio(&name("wait_share"), calm.waits);
+    figures.ratio(&name("archive_per_s"), calm.archive);
+    let kills = kills(times, fronts);
+    for (which, &(kill, dead)) in ["", "_all"].into_iter().zip(&kills).filter(|_| fronts > 1) {
+        let (back, end) = (kill + DOWN_MS, kill + times.back * 1e3);
+        let first = o.load(back, back + 2e3);
+        figures.ratio(&name(&format!("wait_share_on_return{which}")), first.waits);
+        figures.ratio(&name(&format!("renewal_share_on_return{which}")), first.renewals_asked);
+        let full = name(&format!("full_service{which}_s"));
+        match o.full_service_ms(&calm, kill, end) {
+            Some(ms) => figures.ratio(&full, ms / 1e3),
+            None => figures.put(&full, "not reached"),
+        }
+        let calm_peak = peak(&o.archive, calm_from, kills[0].0, calm.archive);
+        figures.ratio(&name("archive_peak_ratio_calm"), calm_peak);
+        figures
+            .ratio(&name(&format!("archive_peak_ratio{which}")), peak(&o.archive, kill, end, calm.archive));
+        if dead < fronts {
+            let lived: Vec<Sample> = o.samples.iter().filter(|s| s.front >= dead).copied().collect();
+            let service = |from, to| rig::service(&lived, &CLASSES, from, to);
+            let ratio = service(kill, kill + 5e3) / f64::max(service(calm_from, kill), 1e-9);
+            figures.ratio(&name("giver_service_ratio"), ratio);
+        }
+    }
+    let got = |got| o.samples.iter().filter(|s| s.got == got).count();
+    let broken = |s: &&Sample| {
+        let dies = |&&(kill, dead): &&(f64, usize)| {
+            s.front < dead && s.planned.at_ms < kill && s.planned.at_ms + 2e3 > kill
+        };
+        s.got == Got::Lost && kills.iter().any(|k| dies(&k))
+    };
+    let broken = o.samples.iter().filter(broken).count();
+    figures.put(&name("accesses"), o.samples.len());
+    figures.put(&name("declined"), got(Got::Declined));
+    figures.put(&name("broken_off"), broken);
+    figures.put(&name("lost"), got(Got::Lost) - broken + o.crashed);
+    figures.put(&name("answered_twice"), o.twice);
+    figures.put(&name("rule_breaks"), o.too_old + o.run_twice + got(Got::Wrong));
+    figures.put(&name("parts_recalled"), o.recalled);
+    figures.put(&name("pages_came"), o.pages);
+    let seconds = (times.warm + times.calm + times.back * kills.len() as f64) * fronts as f64;
+    figures.ratio(&name("words_per_front_s"), o.words as f64 / seconds);
+}
+
+fn told(o: &Outcome, name: &str, end: f64) {
+    for second in 0..(end / 1e3) as u64 {
+        let l = o.load(second as f64 * 1e3, (second + 1) as f64 * 1e3);
+        eprintln!(
+            "{name} second {second}: archive {:.0}, renewals asked {:.3}, made {:.3}, waits {:.3}, service {:.3}",
+            l.archive, l.renewals_asked, l.renewals, l.waits, l.service
+        );
+    }
+}
+
+pub fn run(how: &How, front: Option<PathBuf>, sizes: &[usize], timeline: bool) -> Result<Figures, String> {
     let program = rig::program(front)?;
     let times = match how.quick {
-        true => Times { warm: 5.0, calm: 6.0, back: 12.0 },
-        false => Times { warm: 8.0, calm: 15.0, back: 20.0 },
+        true => Times { warm: 5.0, calm: 6.0, back: 8.0 },
+        false => Times { warm: 8.0, calm: 12.0, back: 12.0 },
     };
-    let sizes: &[usize] = if how.quick { &[10] } else { &[1, 10, 40] };
-    let mut figures = Figures::default();
-    let (calm_from, kill) = (times.warm * 1e3, (times.warm + times.calm) * 1e3);
-    let end = kill + times.back * 1e3;
+    let variants: &[Variant] = if how.quick { &[VARIANTS[0], VARIANTS[1], VARIANTS[4]] } else { &VARIANTS };
+    let usual: &[usize] = if how.quick { &[10] } else { &[20] };
+    let sizes = if sizes.is_empty() { usual } else { sizes };
+    let mut all = Figures::default();
     for &fronts in sizes {
-        let both = std::thread::scope(|scope| {
-            let program = &program;
-            let run = |told| scope.spawn(move || one(how.seed, times, program, fronts, told));
-            [run(true), run(false)].map(|run| run.join())
-        });
-        for (name, o) in ["", "baseline_"].into_iter().zip(both) {
-            let o = o.map_err(|_| "a run failed")??;
-            let calm = o.load(calm_from, kill);
-            let name = |figure: &str| format!("{name}{figure}_{fronts}");
-            if timeline {
-                for second in 0..(end / 1e3) as u64 {
-                    let l = o.load(second as f64 * 1e3, (second + 1) as f64 * 1e3);
-                    eprintln!(
-                        "{} second {second}: archive {:.0}, renewals asked {:.3}, made {:.3}, waits {:.3}, service {:.3}",
-                        name("fronts"),
-                        l.archive,
-                        l.renewals_asked,
-                        l.renewals,
-                        l.waits,
-                        l.service
-                    );
-                }
-            }
-            figures.ratio(&name("renewal_share"), calm.renewals_asked);
-            figures.ratio(&name("wait_share"), calm.waits);
-            figures.ratio(&name("archive_per_s"), calm.archive);
-            if fronts > 1 {
-                let back = kill + DOWN_MS;
-                let first = o.load(back, back + 2_000.0);
-                figures.ratio(&name("wait_share_on_return"), first.waits);
-                figures.ratio(&name("renewal_share_on_return"), first.renewals_asked);
-                match o.full_service_ms(&calm, kill, end) {
-                    Some(ms) => figures.ratio(&name("full_service_s"), ms / 1e3),
-                    None => figures.put(&name("full_service_s"), "not reached"),
+        let end = kills(times, fronts).iter().map(|k| k.0).fold(0.0, f64::max) + times.back * 1e3;
+        // Three at once is what six cores play without being late.
+        for some in variants.chunks(3) {
+            let played = std::thread::scope(|scope| {
+                let program = &program;
+                let run = |&v: &Variant| scope.spawn(move || one(how.seed, times, program, fronts, v));
+                let running: Vec<_> = some.iter().map(run).collect();
+                running.into_iter().map(|r| r.join()).collect::<Vec<_>>()
+            });
+            for (variant, o) in some.iter().zip(played) {
+                let o = o.map_err(|_| "a run failed")??;
+                if timeline {
+                    told(&o, &format!("{}_{fronts}", variant.name), end);
                 }
+                figures(&o, variant.name, times, fronts, &mut all);
             }
-            let got = |got| o.samples.iter().filter(|s| s.got == got).count();
-            let broken = |s: &&Sample| {
-                s.got == Got::Lost
-                    && s.front < fronts * 7 / 10
-                    && s.planned.at_ms < kill
-                    && s.planned.at_ms + 2e3 > kill
-            };
-            let broken = o.samples.iter().filter(broken).count();
-            figures.put(&name("accesses"), o.samples.len());
-            figures.put(&name("declined"), got(Got::Declined));
-            figures.put(&name("broken_off"), broken);
-            figures.put(&name("lost"), got(Got::Lost) - broken + o.crashed);
-            figures.put(&name("answered_twice"), o.twice);
-            figures.put(&name("rule_breaks"), o.too_old + o.run_twice + got(Got::Wrong));
         }
     }
-    Ok(figures)
+    Ok(all)
 }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -205,8 +205,9 @@
                     let due = start + Duration::from_secs_f64(planned.at_ms / 1e3);
                     std::thread::sleep(due.saturating_duration_since(Instant::now()));
                     let Some((front, address)) = choose(at) else { continue };
-                    let (mut client, _) =
-                        clients.remove(&address).filter(|(_, used)| fresh(used)).unwrap_or((None, due));
+                    // Also those to fronts that are no more, or each death would leave descriptors behind.
+                    clients.retain(|_, (_, used)| fresh(used));
+                    let (mut client, _) = clients.remove(&address).unwrap_or((None, due));
                     let got = ask(address, &mut client, &classes[planned.class], planned.key, &mut own);
                     clients.insert(address, (client, Instant::now()));
                     let took_ms = due.elapsed().as_secs_f64() * 1e3;
--- a/crates/operator/src/neighbours.rs
+++ b/crates/operator/src/neighbours.rs
@@ -12,6 +12,13 @@
 //!   probe_ms  = 1000               # more than twice what the slowest link takes there and back
 //!   words     = 40                 # datagrams a second at the most
 //! }
+//! recall {
+//!   enabled  = true
+//!   store    = "recall.redb"
+//!   write_ms = 2000    # at most so often
+//!   most     = 16384   # parts
+//!   pages    = 50      # given to others in a second
+//! }
 //! ```
 
 use std::net::SocketAddrV4;
@@ -88,3 +95,24 @@
         words,
     })
 }
+
+/// What is remembered over a restart.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recall {
+    pub store: Box<str>,
+    pub write_ms: u64,
+    pub most: usize,
+    pub pages: u32,
+}
+
+pub(crate) fn recall(own: &Block<'_>) -> Option<Recall> {
+    let enabled = own.flag("enabled").unwrap_or(false);
+    let write_ms = own.whole("write_ms", 200..=600_000).unwrap_or(2_000);
+    let most = own.whole("most", 100..=65_536).unwrap_or(16_384) as usize;
+    let pages = own.whole("pages", 1..=10_000).unwrap_or(50) as u32;
+    if !enabled {
+        own.text("store");
+        return None;
+    }
+    Some(Recall { store: path(own, "store")?, write_ms, most, pages })
+}
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -5,7 +5,7 @@
 
 use crate::control::{Papers, address, papers, path};
 use crate::doc::{Block, Doc, Problems};
-use crate::neighbours::{Neighbours, neighbours};
+use crate::neighbours::{Neighbours, Recall, neighbours, recall};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Format {
@@ -79,6 +79,8 @@
     /// None where it is off.
     pub neighbours: Option<Neighbours>,
     /// None where it is off.
+    pub recall: Option<Recall>,
+    /// None where it is off.
     pub hierarchy: Option<Hierarchy>,
 }
 
@@ -196,6 +198,10 @@
             settings.neighbours = neighbours(&own);
             own.done();
         }
+        if let Some(own) = root.block("recall") {
+            settings.recall = recall(&own);
+            own.done();
+        }
         root.done();
         doc.finish(settings)
     }
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -131,3 +131,16 @@
         ["d.hcl:2:14: key 'neighbours.probe_ms': expected a whole number from 100 to 60000, got 5"]
     );
 }
+
+#[test]
+fn recall_is_read_and_each_fault_is_named() {
+    let sound = "recall {\n  enabled = true\n  store = \"r.redb\"\n}\n";
+    let own = Settings::read("d.hcl", sound).unwrap().recall.unwrap();
+    assert_eq!((&*own.store, own.write_ms, own.most, own.pages), ("r.redb", 2_000, 16_384, 50));
+    assert_eq!(Settings::read("d.hcl", "recall {\n  store = \"r.redb\"\n}\n").unwrap().recall, None);
+    assert_eq!(problems("recall {\n  enabled = true\n}\n"), ["d.hcl:1:1: key 'recall.store': is missing"]);
+    assert_eq!(
+        problems("recall {\n  write_ms = 5\n}\n"),
+        ["d.hcl:2:14: key 'recall.write_ms': expected a whole number from 200 to 600000, got 5"]
+    );
+}
--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -38,6 +38,8 @@
     /// What an answer takes.
     pub lag: Duration,
     pub cold: Option<Cold>,
+    /// Requests that it works on at once; more are refused as full.
+    pub at_once: usize,
     /// Answers say in `Made-At` how old their copy is.
     pub tells_made: bool,
 }
@@ -45,7 +47,8 @@
 impl Spec {
     pub fn new(id: &str, at: &str, role: Role) -> Spec {
         let (keeps, lag, fresh_ms, cold) = (100_000, Duration::ZERO, HashMap::new(), None);
-        Spec { id: id.into(), at: at.into(), role, keeps, fresh_ms, lag, cold, tells_made: true }
+        let (at_once, tells_made) = (usize::MAX, true);
+        Spec { id: id.into(), at: at.into(), role, keeps, fresh_ms, lag, cold, at_once, tells_made }
     }
 }
 
@@ -166,9 +169,11 @@
     asked_at: Mutex<Vec<(u64, String)>>,
     answered: Mutex<Vec<Answered>>,
     lines: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
-    open: Mutex<Vec<TcpStream>>,
+    /// Connections that came, by their numbers, until they end.
+    open: Mutex<HashMap<usize, TcpStream>>,
     /// At the archive: how often each access came, by class and id.
     ran: Mutex<HashMap<(String, String), usize>>,
+    works_on: AtomicUsize,
     drained_at: AtomicU64,
     after_drain: AtomicUsize,
     counts: Counts,
@@ -203,23 +208,25 @@
             lines: Mutex::default(),
             open: Mutex::default(),
             ran: Mutex::default(),
+            works_on: AtomicUsize::new(0),
             drained_at: AtomicU64::new(u64::MAX),
             after_drain: AtomicUsize::new(0),
             counts: Counts::default(),
         });
         let member = Member { id, at, inner: inner.clone() };
         std::thread::spawn(move || {
-            for stream in listener.incoming() {
+            for (number, stream) in listener.incoming().enumerate() {
                 if inner.dead.load(SeqCst) {
                     return; // The listener goes with it: connections are refused from now on.
                 }
                 let Ok(stream) = stream else { continue };
                 let _ = stream.set_nodelay(true);
-                lock(&inner.open).extend(stream.try_clone());
+                lock(&inner.open).extend(stream.try_clone().map(|open| (number, open)));
                 let inner = inner.clone();
                 std::thread::spawn(move || {
                     let _ = inner.serve(&stream);
                     let _ = stream.shutdown(Shutdown::Both);
+                    lock(&inner.open).remove(&number);
                 });
             }
         });
@@ -288,7 +295,7 @@
     pub fn kill(&self) {
         self.inner.dead.store(true, SeqCst);
         let _ = TcpStream::connect(self.at);
-        lock(&self.inner.open).drain(..).for_each(|s| drop(s.shutdown(Shutdown::Both)));
+        lock(&self.inner.open).drain().for_each(|(_, s)| drop(s.shutdown(Shutdown::Both)));
         lock(&self.inner.lines).clear();
     }
 
@@ -317,19 +324,23 @@
             if self.falls() {
                 self.counts.fell.fetch_add(1, SeqCst);
                 self.dead.store(true, SeqCst);
-                lock(&self.open).drain(..).for_each(|s| drop(s.shutdown(Shutdown::Both)));
+                lock(&self.open).drain().for_each(|(_, s)| drop(s.shutdown(Shutdown::Both)));
                 return Ok(());
             }
             self.gate.pass();
             let faults = lock(&self.faults).clone();
-            std::thread::sleep(self.spec.lag + faults.slow);
+            let crowded = self.works_on.fetch_add(1, SeqCst) >= self.spec.at_once;
+            if !crowded {
+                std::thread::sleep(self.spec.lag + faults.slow);
+            }
+            self.works_on.fetch_sub(1, SeqCst);
             if faults.reset {
                 return Ok(());
             }
-            if faults.fails || faults.full {
+            if faults.fails || faults.full || crowded {
                 self.counts.failed.fetch_add(1, SeqCst);
-                let first = if faults.full { "HTTP/1.1 503 Full" } else { "HTTP/1.1 500 Failed" };
-                let unrun = if faults.full { "1" } else { "" };
+                let first = if faults.full || crowded { "HTTP/1.1 503 Full" } else { "HTTP/1.1 500 Failed" };
+                let unrun = if faults.full || crowded { "1" } else { "" };
                 wire::write(stream, first, &[("Not-Begun", unrun)], b"")?;
                 continue;
             }
--- a/deploy/doorgrade.hcl
+++ b/deploy/doorgrade.hcl
@@ -50,3 +50,12 @@
   # probe_ms  = 1000                # more than twice what the slowest link takes there and back
   # words     = 40                  # datagrams a second at the most
 }
+
+# What is remembered over a restart, from a store of its own and from neighbours (docs/recall.md). Off: nothing is written here.
+recall {
+  enabled = false
+  # store    = "recall.redb"   # beside this file
+  # write_ms = 2000            # at most so often
+  # most     = 16384           # parts
+  # pages    = 50              # given to neighbours that come back, in a second
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -469,12 +469,12 @@
 
     /// Retrieval threshold, a share of the fresh time: the cap; caches renew only in the last fifth.
     const BETA: f64 = 0.2;
+    /// Some minutes of distinct parts at a front; a part that was dropped is taken for just filled.
+    const MOST_FILLS: usize = 1 << 16;
 
     /// The design's estimate for this part: whether the zone's caches most likely lack it (not seen here for
     /// as long as copies are likely kept unused: a guess), its rank, and whether to renew it behind.
     fn remember(&mut self, now: Tenths, a: &Access) -> (bool, u8, bool) {
-        /// Some minutes of distinct parts at a front; a part that was dropped is taken for just filled.
-        const MOST_FILLS: usize = 1 << 16;
         let Offering { fresh, uncacheable, .. } = self.classes[a.offering].of;
         if uncacheable {
             return (false, 0, false);
@@ -489,12 +489,21 @@
             let seen = std::mem::replace(&mut fill.seen, now);
             return (seen + 50_000 < now, 2, fresh > 0 && (left as f64) < Self::BETA * fresh as f64);
         }
-        self.fills.shed(|count, _| count >= MOST_FILLS);
+        self.fills.shed(|count, _| count >= Self::MOST_FILLS);
         self.fills.put(key, Fill { at: now, seen: now });
         // One-off objects must not displace what is wanted again: a first sight is kept at the lowest rank.
         (true, 1, false)
     }
 
+    /// Known from before the start, or to others: when a part's copy was made, and asked for last. What this
+    /// front has seen since its start stays; the first answer corrects what is wrong.
+    pub fn recall(&mut self, now: Tenths, part: (u64, u32), made: Tenths, seen: Tenths) {
+        if made <= now && self.fills.get(&part).is_none() {
+            self.fills.shed(|count, _| count >= Self::MOST_FILLS);
+            self.fills.put(part, Fill { at: made, seen: seen.min(now) });
+        }
+    }
+
     pub fn ended(&mut self, now: Tenths, id: AccessId, e: &Ended, out: &mut dyn Outlet) {
         let Some(&place) = self.places.get(&id) else { return };
         let Some(sent) = self.held[place].sent.get_mut(e.push).filter(|s| s.ended.is_none()) else {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -173,6 +173,26 @@
     renewals(&[(0, Some(-2_000), false), (63_000, None, false), (2_000, None, true)]);
 }
 
+#[test]
+fn what_is_recalled_counts_at_the_first_access_and_never_over_what_was_seen() {
+    let (mut world, mut front) = World::new(settings(), &zone(3, 2));
+    // Fresh for 8 s. Asked for, it would be taken for young.
+    front.recall(world.now, (9, 0), world.now - 70_000, world.now - 10);
+    world.access(&mut front, 1, 0, 9);
+    assert_eq!((world.last(1).renew, world.last(1).rank), (true, 2));
+    world.made_ago = Some(1_000);
+    world.end(&mut front, 1, 0, Outcome::Handled, Note::Hit);
+    // Word that comes after the front has seen for itself, or from a time to come, changes nothing.
+    front.recall(world.now, (9, 0), world.now - 70_000, world.now);
+    world.access(&mut front, 2, 0, 9);
+    assert!(!world.last(2).renew);
+    front.recall(world.now, (8, 0), world.now + 1, world.now);
+    world.access(&mut front, 3, 0, 8);
+    assert_eq!(world.last(3).rank, 1, "a first sight");
+    // A flood stays within the table.
+    (100..200_000).for_each(|object| front.recall(world.now, (object, 0), world.now - 1, world.now));
+}
+
 #[test]
 fn without_notes_the_first_access_after_expiry_counts_as_the_fill() {
     let set = Settings { notes: Notes::Never, ..settings() };
