The return by size and by trouble; newcomers ask on while they learn

Need: the return was measured for two deaths of twenty fronts. The issue asks for a death during the return, a traffic jump, caches restarted with the fronts, returning fronts that are stopped, false ages, cost, and how it grows with size.

Two tests more of real processes and the reducer: a returning front stopped at each of three steps asks anew, a neighbour's lie moves one renewal. Membership: a newcomer that learns of somebody asks on at once, since one answer names some thirty.

--- a/crates/cli/tests/recall.rs
+++ b/crates/cli/tests/recall.rs
@@ -182,6 +182,41 @@
     assert_eq!(rig.cache.counts().too_old.load(SeqCst), 0);
 }
 
+#[test]
+fn a_returning_front_stopped_at_each_step_asks_anew_and_serves() {
+    let mut rig = rig("recall-steps", 3);
+    rig.cache.preload(PATH, FRESH_MS * 17 / 20);
+    rig.fleet.start(0);
+    rig.fleet.start(1);
+    rig.line(0, "recall: from neighbours, 0 pages");
+    rig.ask(0);
+    // Before it knows anybody, while it asks, and when it has all.
+    for (step, told) in
+        ["recall: no snapshot", "neighbours: among neighbours", "recall: from neighbours, 1 pages"]
+            .into_iter()
+            .enumerate()
+    {
+        let _ = std::fs::remove_file(rig.fleet.folder.join("n2.redb"));
+        rig.fleet.start(2);
+        rig.line(2, told);
+        rig.fleet.front(2).stop();
+        // Longer than any pause of its own.
+        std::thread::sleep(Duration::from_secs(3));
+        let before = rig.fleet.front(2).lines().len();
+        rig.fleet.front(2).wake();
+        rig.line(2, "neighbours: slept for ");
+        until("it has asked anew", || {
+            let lines = rig.fleet.fronts[2].as_ref().unwrap().lines();
+            lines[before..].iter().any(|l| l.contains("recall: from neighbours, 1 pages: "))
+        });
+        let asked = rig.renewals_asked();
+        rig.ask(2);
+        assert_eq!(rig.renewals_asked(), asked + 1, "step {step}: it knows what is about to end");
+        rig.fleet.front(2).kill();
+    }
+    rig.fleet.words_hold();
+}
+
 #[test]
 fn givers_that_are_stopped_while_they_give_hold_nobody_up() {
     let mut rig = rig("recall-stopped", 3);
--- a/crates/front/src/neighbours.rs
+++ b/crates/front/src/neighbours.rs
@@ -248,8 +248,8 @@
 
     /// Who may have memory: those that are there.
     fn givers(&self) -> Vec<Giver> {
-        let up = self.members.seen().into_iter().filter(|s| s.state == State::Up);
-        up.map(|s| Giver { at: s.id.at, near: s.id.station == self.told.own.station }).collect()
+        let near = |id: &Id| id.station == self.told.own.station;
+        self.members.up().map(|id| Giver { at: id.at, near: near(id) }).collect()
     }
 
     /// Keys that have changed hands meanwhile.
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -568,6 +568,30 @@
     assert!(plain.reducer.learned().is_empty());
 }
 
+#[test]
+fn a_neighbour_that_lies_about_ages_moves_one_renewal_and_nothing_else() {
+    // (what it says of a copy's age, the copy's age): all is fresh for 8 s.
+    for (said, age) in [(0, 70_000), (79_000, 1_000)] {
+        let recall = Some(Recall { store: "s".into(), write_ms: 1_000, most: 100, pages: 1 });
+        let files = Files { settings: Settings { recall, ..Settings::default() }, ..Files::default() };
+        let mut w = World::with(1, 128, files);
+        let client = w.client();
+        let lie = Fill { offering: 0, object: 5, part: 0, group: 1, made: w.now - said, seen: w.now };
+        w.input(Input::Recall(vec![lie], vec![]));
+        for call in 1..=3 {
+            w.made_at = Some(((w.now - age) / 10).to_string());
+            w.ask(client, 1, call, 0, 5, 1_000);
+            serve(&mut w);
+            let believed = if call == 1 { said } else { age };
+            assert_eq!(w.heads[&call].contains("revalidate"), believed > 64_000, "access {call}");
+            assert!(
+                w.heads[&call].contains("No-Older-Than: 8000"),
+                "how old an answer may be is not asked of others"
+            );
+        }
+    }
+}
+
 #[test]
 fn clients_that_vanish_give_their_descriptors_back() {
     let mut w = World::new(1, 128);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 mod returns;
 mod rig;
 mod shape;
+mod sizes;
 mod soak;
 mod stream;
 
@@ -94,6 +95,12 @@
         /// Loads second by second, on standard error
         #[arg(long)]
         timeline: bool,
+        /// Only what is played in virtual time: how the return grows with the number of fronts
+        #[arg(long)]
+        virtual_only: bool,
+        /// With --virtual-only: draws its times into this file, as SVG
+        #[arg(long, requires = "virtual_only")]
+        plot: Option<std::path::PathBuf>,
     },
     /// A front's memory over as many accesses as 45 minutes bring, with caches, objects and clients always new
     Soak {
@@ -148,8 +155,12 @@
             (how.clone(), figures)
         }
         Subject::Fleet { how, front } => (how.clone(), fleet::run(&how, front)),
-        Subject::Return { how, front, fronts, timeline } => {
-            (how.clone(), returns::run(&how, front, &fronts, timeline))
+        Subject::Return { how, front, fronts, timeline, virtual_only, plot } => {
+            let figures = match virtual_only {
+                true => sizes::run(&how, &fronts, plot.as_deref()),
+                false => returns::run(&how, front, &fronts, timeline),
+            };
+            (how, figures)
         }
         Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
--- a/crates/lab/src/returns.rs
+++ b/crates/lab/src/returns.rs
@@ -1,6 +1,8 @@
 //! Fronts that come back: many real fronts on loopback before one set of caches. Seven in ten are killed at once under
-//! load and start again a second later; then all are. The archive has a stated capacity, three trunk caches stand before
-//! it, and words between fronts go over links that take some milliseconds and lose some.
+//! load and start again a second later; then all are. In the whole run, seven in ten are killed again, and once more
+//! half a second after they are back, while two and a half times as much is asked for; and at last all are together with
+//! all caches, which come back cold and empty under other addresses. The archive has a stated capacity, three trunk
+//! caches stand before it, and words between fronts go over links that take some milliseconds and lose some.
 //!
 //! What is told apart in one run:
 //!
@@ -19,8 +21,9 @@
 use std::time::{Duration, Instant};
 
 use doorgrade_hierarchy::homes::{Home, first};
+use doorgrade_standins::feed::record;
 use doorgrade_standins::links::{ANY, Links, Way};
-use doorgrade_standins::member::Answered;
+use doorgrade_standins::member::{Answered, Cold};
 use doorgrade_standins::{Directory, Feed, Member, Role, Spec, unix_ms};
 use fastrand::Rng;
 use serde_json::json;
@@ -67,6 +70,11 @@
     variant("neighbours", true, false, true),
     variant("memory", true, true, true),
 ];
+/// What a traffic jump multiplies, and how long it lasts.
+const JUMP: f64 = 2.5;
+const JUMP_MS: f64 = 4_000.0;
+/// A cache that comes back: what a warm one does in a second, half as much again as it is asked for in calm.
+const WARM: f64 = 1.5 * RATE / CACHES as f64;
 /// Dead ones start again after so long.
 const DOWN_MS: f64 = 1_000.0;
 /// Service is full when so long a time has gone by as it did on calm days.
@@ -81,7 +89,7 @@
 }
 
 /// Popular objects are asked for as 1 over rank; each hundredth access is a write.
-fn plan(seed: u64, until_ms: f64) -> Vec<Planned> {
+fn plan(seed: u64, until_ms: f64, jump: Option<(f64, f64)>) -> Vec<Planned> {
     let mut rng = Rng::with_seed(seed ^ 0x5e7);
     let mut sum = 0.0;
     let table: Vec<f64> = (1..=OBJECTS)
@@ -91,15 +99,17 @@
         })
         .collect();
     let each = 1e3 / RATE;
-    let access = |n: u64| {
-        let at_ms = (n as f64 + 0.8 * rng.f64()) * each;
+    let (mut all, mut at, mut n) = (Vec::new(), 0.0, 0u64);
+    while at < until_ms {
         let (class, key) = match n % 100 {
             99 => (1, rng.u64(..)),
             _ => (0, table.partition_point(|&s| s < rng.f64() * sum) as u64 + 1),
         };
-        Planned { at_ms, class, key }
-    };
-    (0..(until_ms / each) as u64).map(access).collect()
+        let each = if jump.is_some_and(|j| (j.0..j.1).contains(&at)) { each / JUMP } else { each };
+        all.push(Planned { at_ms: at + 0.8 * each * rng.f64(), class, key });
+        (at, n) = (at + each, n + 1);
+    }
+    all
 }
 
 struct Outcome {
@@ -109,16 +119,20 @@
     archive: Vec<f64>,
     answered: Vec<(f64, Answered)>,
     too_old: usize,
+    fell: usize,
     run_twice: usize,
     crashed: usize,
     /// Parts taken over from memory at starts, and pages given.
     recalled: u64,
+    /// Processor time of all fronts in the calm, in thousandths of a core, and their memory in MB at its end.
+    cpu: f64,
+    memory_mb: f64,
     pages: usize,
     words: usize,
 }
 
 fn config(site: &Site, fronts: usize, front: usize, seed: u64) -> String {
-    let Site { caches, trunks, archive, feed } = site;
+    let Site { caches, trunks, archive, feed, .. } = site;
     let mut members: Vec<_> = caches.iter().map(|m| rig::listed(m, "one", "cache")).collect();
     members.extend(trunks.iter().map(|m| rig::listed(m, "hub", "trunk")));
     members.push(rig::listed(archive, "hub", "archive"));
@@ -141,7 +155,12 @@
 }
 
 struct Site {
+    directory: Directory,
+    /// What each cache is like.
+    cache: Spec,
     caches: Vec<Member>,
+    /// Those that died.
+    gone: Vec<Member>,
     trunks: Vec<Member>,
     archive: Member,
     feed: Feed,
@@ -150,12 +169,13 @@
 impl Site {
     fn new(seed: u64, told: bool) -> Result<Site, String> {
         let directory = Directory::default();
-        let start = |id: &str, role, lag_ms, at_once| {
+        let spec = |id: &str, role, lag_ms, at_once| {
             let fresh_ms = HashMap::from([(CLASSES[0].name.to_owned(), FRESH_MS)]);
             let lag = Duration::from_millis(lag_ms);
-            let spec =
-                Spec { lag, fresh_ms, at_once, tells_made: told, ..Spec::new(id, "127.0.0.1:0", role) };
-            Member::start(spec, &directory).map_err(|e| e.to_string())
+            Spec { lag, fresh_ms, at_once, tells_made: told, ..Spec::new(id, "127.0.0.1:0", role) }
+        };
+        let start = |id: &str, role, lag_ms, at_once| {
+            Member::start(spec(id, role, lag_ms, at_once), &directory).map_err(|e| e.to_string())
         };
         let archive = start(ARCHIVE, Role::Archive, 25, ARCHIVE_AT_ONCE)?;
         let trunks = TRUNKS.iter().map(|id| start(id, Role::Trunk, 4, usize::MAX));
@@ -173,7 +193,8 @@
             home.into_iter().for_each(|h| h.preload(&path, ages.u64(0..FRESH_MS)));
         }
         let feed = Feed::start("127.0.0.1:0").map_err(|e| e.to_string())?;
-        Ok(Site { caches, trunks, archive, feed })
+        let cache = spec("", Role::Cache, 2, usize::MAX);
+        Ok(Site { directory, cache, caches, gone: Vec::new(), trunks, archive, feed })
     }
 }
 
@@ -218,9 +239,16 @@
     }
 }
 
-fn one(seed: u64, times: Times, program: &Path, fronts: usize, variant: Variant) -> Result<Outcome, String> {
+fn one(
+    seed: u64,
+    times: Times,
+    script: &[Trouble],
+    program: &Path,
+    fronts: usize,
+    variant: Variant,
+) -> Result<Outcome, String> {
     let folder = Folder::new(&format!("return-{seed}-{fronts}-{}", variant.name))?;
-    let site = Site::new(seed, variant.told)?;
+    let mut site = Site::new(seed, variant.told)?;
     let posts = Posts::new(seed, fronts).map_err(|e| e.to_string())?;
     let secret = format!("key \"1\" {{ secret = \"{}\" }}\n", "5e".repeat(32));
     folder.put("seal-keys.hcl", &secret)?;
@@ -251,16 +279,16 @@
         let drawn = doorgrade::hash::unit(access as u64, seed);
         up.get((drawn * up.len() as f64) as usize).copied()
     };
-    let kills = kills(times, fronts);
-    let end = kills.iter().map(|k| k.0).fold(0.0, f64::max) + times.back * 1e3;
-    let plan = plan(seed, end);
+    let end = script.iter().map(|t| t.at).fold(0.0, f64::max) + times.back * 1e3;
+    let jump = script.iter().find(|t| t.jump).map(|t| (t.at + DOWN_MS, t.over));
+    let plan = plan(seed, end, jump);
     let begun = Instant::now() + Duration::from_millis(100);
     let begun_ms = unix_ms() as f64 + 100.0;
     let at = |ms: f64| {
         let due = begun + Duration::from_secs_f64(ms / 1e3);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
     };
-    let (mut crashed, mut recalled, mut pages) = (0, 0, 0);
+    let (mut crashed, mut recalled, mut pages, mut cpu, mut memory_mb) = (0, 0, 0, 0.0, 0.0);
     let mut look = |front: &Front| {
         for line in front.lines().iter().filter(|l| l.contains("recall: from ")) {
             let parts =
@@ -272,19 +300,33 @@
     };
     let played = std::thread::scope(|scope| -> Result<rig::Played, String> {
         let player = scope.spawn(|| rig::play_at(&choose, &plan, &CLASSES, begun, 96));
-        for &(kill, dead) in &kills {
-            at(kill);
-            crashed += running.iter_mut().flatten().filter_map(|f| (!f.alive()).then_some(())).count();
-            (0..dead).for_each(|front| set(front, None));
-            for front in running.iter_mut().take(dead) {
-                front.iter().for_each(&mut look);
-                *front = None;
-            }
-            at(kill + DOWN_MS);
-            for (front, runs) in running.iter_mut().enumerate().take(dead) {
-                let started = start(front)?;
-                set(front, Some(started.at));
-                *runs = Some(started);
+        let processes: Vec<u32> = running.iter().flatten().map(Front::process).collect();
+        let spent = || processes.iter().map(|&p| rig::cpu_ms(p)).sum::<f64>();
+        at(times.warm * 1e3);
+        let before = spent();
+        at((times.warm + times.calm) * 1e3);
+        cpu = (spent() - before) / times.calm;
+        memory_mb = processes.iter().filter_map(|&p| rig::memory_mb(p).ok()).sum();
+        for trouble in script {
+            let deaths = std::iter::once(trouble.at).chain(trouble.again.map(|after| trouble.at + after));
+            for (kill, last) in deaths.clone().zip((1..=deaths.count()).rev()) {
+                at(kill);
+                crashed += running.iter_mut().flatten().filter_map(|f| (!f.alive()).then_some(())).count();
+                (0..trouble.dead).for_each(|front| set(front, None));
+                for front in running.iter_mut().take(trouble.dead) {
+                    front.iter().for_each(&mut look);
+                    *front = None;
+                }
+                if trouble.caches {
+                    site.restart_caches(2)?;
+                }
+                // Killed again so soon, they start again as soon.
+                at(kill + if last > 1 || trouble.again.is_none() { DOWN_MS } else { DOWN_MS / 2.0 });
+                for (front, runs) in running.iter_mut().enumerate().take(trouble.dead) {
+                    let started = start(front)?;
+                    set(front, Some(started.at));
+                    *runs = Some(started);
+                }
             }
         }
         player.join().map_err(|_| "the player failed".to_owned())
@@ -292,30 +334,85 @@
     crashed += running.iter_mut().flatten().filter_map(|f| (!f.alive()).then_some(())).count();
     running.iter().flatten().for_each(look);
     let since = |ms: u64| ms as f64 - begun_ms;
-    let Site { caches, archive, .. } = &site;
     let mut answered: Vec<_> =
-        caches.iter().flat_map(|c| c.answered()).map(|a| (since(a.at_ms), a)).collect();
+        site.all_caches().flat_map(|c| c.answered()).map(|a| (since(a.at_ms), a)).collect();
     answered.sort_by(|a, b| a.0.total_cmp(&b.0));
     Ok(Outcome {
         samples: played.samples,
         twice: played.answered_twice,
-        archive: archive.asked_at().iter().map(|(ms, _)| since(*ms)).collect(),
+        archive: site.archive.asked_at().iter().map(|(ms, _)| since(*ms)).collect(),
         answered,
-        too_old: caches.iter().map(|m| m.counts().too_old.load(SeqCst)).sum(),
-        run_twice: archive.run_twice(CLASSES[1].name),
+        too_old: site.all_caches().map(|m| m.counts().too_old.load(SeqCst)).sum(),
+        fell: site.all_caches().map(|m| m.counts().fell.load(SeqCst)).sum(),
+        run_twice: site.archive.run_twice(CLASSES[1].name),
         crashed,
         recalled,
+        cpu,
+        memory_mb,
         pages,
         words: (0..fronts).map(|n| posts.links.sent_by(&format!("n{n}")).datagrams).sum(),
     })
 }
 
-/// When how many of the fronts are killed: the first ones, so that the last live. Alone, a front is not killed.
-fn kills(times: Times, fronts: usize) -> Vec<(f64, usize)> {
+/// One trouble of the script.
+#[derive(Clone, Copy)]
+struct Trouble {
+    name: &'static str,
+    at: f64,
+    /// So many of the fronts are killed: the first ones, so that the last live.
+    dead: usize,
+    /// Killed once more, so long after the first time.
+    again: Option<f64>,
+    jump: bool,
+    /// All caches die, too, and come back cold.
+    caches: bool,
+    /// From when on service may be full again.
+    over: f64,
+}
+
+/// Alone, a front is not killed.
+fn script(times: Times, fronts: usize, quick: bool) -> Vec<Trouble> {
     let first = (times.warm + times.calm) * 1e3;
+    let most = fronts * 7 / 10;
+    let trouble = |name, n: u32, dead| {
+        let at = first + f64::from(n) * times.back * 1e3;
+        Trouble { name, at, dead, again: None, jump: false, caches: false, over: at }
+    };
     match fronts {
-        1 => vec![(first, 0)],
-        _ => vec![(first, fronts * 7 / 10), (first + times.back * 1e3, fronts)],
+        1 => vec![trouble("", 0, 0)],
+        _ if quick => vec![trouble("", 0, most), trouble("_all", 1, fronts)],
+        _ => {
+            let third = trouble("_again", 2, most);
+            // What is asked for is not as in calm before the jump is over; the time is counted from there.
+            let over = third.at + DOWN_MS + JUMP_MS;
+            let third = Trouble { again: Some(DOWN_MS + 500.0), jump: true, over, ..third };
+            let last = Trouble { caches: true, ..trouble("_cold", 3, fronts) };
+            vec![trouble("", 0, most), trouble("_all", 1, fronts), third, last]
+        }
+    }
+}
+
+impl Site {
+    /// All caches die and come back at once, empty and cold, under other addresses; the feed tells.
+    fn restart_caches(&mut self, number: u64) -> Result<(), String> {
+        self.caches.iter().for_each(Member::kill);
+        let (lasts, window) = (Duration::from_secs(8), Duration::from_millis(1_500));
+        let cold = Cold { warm: WARM, from: 0.2, lasts, multiple: 3.0, window };
+        let mut records = Vec::new();
+        for old in std::mem::take(&mut self.caches) {
+            let spec = Spec { cold: Some(cold), ..self.cache.clone() };
+            let new = Member::start(Spec { id: old.id.clone(), ..spec }, &self.directory)
+                .map_err(|e| e.to_string())?;
+            records.push(record(&new.id, new.at, 0, 0, 0, unix_ms()));
+            self.caches.push(new);
+            self.gone.push(old);
+        }
+        self.feed.list(number, &records);
+        Ok(())
+    }
+
+    fn all_caches(&self) -> impl Iterator<Item = &Member> {
+        self.caches.iter().chain(&self.gone)
     }
 }
 
@@ -376,41 +473,47 @@
     (0..=steps).map(|n| count(from + 100.0 * n as f64)).fold(0.0, f64::max) / f64::max(mean, 1e-9)
 }
 
-fn figures(o: &Outcome, name: &str, times: Times, fronts: usize, figures: &mut Figures) {
+fn figures(o: &Outcome, name: &str, times: Times, script: &[Trouble], fronts: usize, figures: &mut Figures) {
     let name = |figure: &str| format!("{name}_{figure}_{fronts}");
     let (calm_from, kill) = (times.warm * 1e3, (times.warm + times.calm) * 1e3);
     let calm = o.load(calm_from, kill);
     figures.ratio(&name("renewal_share"), calm.renewals_asked);
     figures.ratio(&name("wait_share"), calm.waits);
     figures.ratio(&name("archive_per_s"), calm.archive);
-    let kills = kills(times, fronts);
-    for (which, &(kill, dead)) in ["", "_all"].into_iter().zip(&kills).filter(|_| fronts > 1) {
-        let (back, end) = (kill + DOWN_MS, kill + times.back * 1e3);
+    figures.ratio(&name("archive_peak_ratio_calm"), peak(&o.archive, calm_from, kill, calm.archive));
+    figures.ratio(&name("cpu_ms_per_s"), o.cpu);
+    figures.ratio(&name("memory_mb_each"), o.memory_mb / fronts as f64);
+    for t in script.iter().filter(|t| t.dead > 0) {
+        let (back, end) = (t.at + t.again.unwrap_or(0.0) + DOWN_MS, t.at + times.back * 1e3);
         let first = o.load(back, back + 2e3);
-        figures.ratio(&name(&format!("wait_share_on_return{which}")), first.waits);
-        figures.ratio(&name(&format!("renewal_share_on_return{which}")), first.renewals_asked);
-        let full = name(&format!("full_service{which}_s"));
-        match o.full_service_ms(&calm, kill, end) {
+        figures.ratio(&name(&format!("wait_share_on_return{}", t.name)), first.waits);
+        figures.ratio(&name(&format!("renewal_share_on_return{}", t.name)), first.renewals_asked);
+        let full = name(&format!("full_service{}_s", t.name));
+        match o.full_service_ms(&calm, t.over, end) {
             Some(ms) => figures.ratio(&full, ms / 1e3),
             None => figures.put(&full, "not reached"),
         }
-        let calm_peak = peak(&o.archive, calm_from, kills[0].0, calm.archive);
-        figures.ratio(&name("archive_peak_ratio_calm"), calm_peak);
-        figures
-            .ratio(&name(&format!("archive_peak_ratio{which}")), peak(&o.archive, kill, end, calm.archive));
-        if dead < fronts {
-            let lived: Vec<Sample> = o.samples.iter().filter(|s| s.front >= dead).copied().collect();
+        figures.ratio(
+            &name(&format!("archive_peak_ratio{}", t.name)),
+            peak(&o.archive, t.at, end, calm.archive),
+        );
+        let served = rig::service(&o.samples, &CLASSES, t.at + DOWN_MS, end);
+        figures.ratio(&name(&format!("service{}", t.name)), served);
+        if t.dead < fronts {
+            let lived: Vec<Sample> = o.samples.iter().filter(|s| s.front >= t.dead).copied().collect();
             let service = |from, to| rig::service(&lived, &CLASSES, from, to);
-            let ratio = service(kill, kill + 5e3) / f64::max(service(calm_from, kill), 1e-9);
-            figures.ratio(&name("giver_service_ratio"), ratio);
+            let ratio = service(t.at, t.at + 5e3) / f64::max(service(calm_from, kill), 1e-9);
+            figures.ratio(&name(&format!("giver_service_ratio{}", t.name)), ratio);
         }
     }
     let got = |got| o.samples.iter().filter(|s| s.got == got).count();
     let broken = |s: &&Sample| {
-        let dies = |&&(kill, dead): &&(f64, usize)| {
-            s.front < dead && s.planned.at_ms < kill && s.planned.at_ms + 2e3 > kill
-        };
-        s.got == Got::Lost && kills.iter().any(|k| dies(&k))
+        let deaths = script.iter().flat_map(|t| {
+            let again = t.again.map(|after| (t.at + after, t.dead));
+            std::iter::once((t.at, t.dead)).chain(again)
+        });
+        let mut deaths = deaths.filter(|&(_, dead)| s.front < dead);
+        s.got == Got::Lost && deaths.any(|(at, _)| s.planned.at_ms < at && s.planned.at_ms + 2e3 > at)
     };
     let broken = o.samples.iter().filter(broken).count();
     figures.put(&name("accesses"), o.samples.len());
@@ -418,10 +521,11 @@
     figures.put(&name("broken_off"), broken);
     figures.put(&name("lost"), got(Got::Lost) - broken + o.crashed);
     figures.put(&name("answered_twice"), o.twice);
-    figures.put(&name("rule_breaks"), o.too_old + o.run_twice + got(Got::Wrong));
+    figures.put(&name("rule_breaks"), o.too_old + o.run_twice + o.fell + got(Got::Wrong));
+    figures.put(&name("cold_fallen"), o.fell);
     figures.put(&name("parts_recalled"), o.recalled);
     figures.put(&name("pages_came"), o.pages);
-    let seconds = (times.warm + times.calm + times.back * kills.len() as f64) * fronts as f64;
+    let seconds = (times.warm + times.calm + times.back * script.len() as f64) * fronts as f64;
     figures.ratio(&name("words_per_front_s"), o.words as f64 / seconds);
 }
 
@@ -446,12 +550,14 @@
     let sizes = if sizes.is_empty() { usual } else { sizes };
     let mut all = Figures::default();
     for &fronts in sizes {
-        let end = kills(times, fronts).iter().map(|k| k.0).fold(0.0, f64::max) + times.back * 1e3;
+        let script = script(times, fronts, how.quick);
+        let end = script.iter().map(|t| t.at).fold(0.0, f64::max) + times.back * 1e3;
         // Three at once is what six cores play without being late.
         for some in variants.chunks(3) {
             let played = std::thread::scope(|scope| {
-                let program = &program;
-                let run = |&v: &Variant| scope.spawn(move || one(how.seed, times, program, fronts, v));
+                let (program, script) = (&program, script.as_slice());
+                let run =
+                    |&v: &Variant| scope.spawn(move || one(how.seed, times, script, program, fronts, v));
                 let running: Vec<_> = some.iter().map(run).collect();
                 running.into_iter().map(|r| r.join()).collect::<Vec<_>>()
             });
@@ -460,7 +566,7 @@
                 if timeline {
                     told(&o, &format!("{}_{fronts}", variant.name), end);
                 }
-                figures(&o, variant.name, times, fronts, &mut all);
+                figures(&o, variant.name, times, &script, fronts, &mut all);
             }
         }
     }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -104,6 +104,15 @@
     }
 }
 
+/// The processor time that a process has used, in milliseconds; the system counts in hundredths of a second.
+pub fn cpu_ms(process: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    // The name in parentheses may hold anything; user and system time are the 14th and 15th of all fields.
+    let after = stat.rsplit_once(')').map_or("", |s| s.1);
+    let times = after.split_whitespace().skip(11).take(2);
+    10.0 * times.filter_map(|t| t.parse::<f64>().ok()).sum::<f64>()
+}
+
 /// What a process holds in memory, in MB.
 pub fn memory_mb(process: u32) -> Result<f64, String> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).map_err(|e| e.to_string())?;
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -210,7 +210,7 @@
         let event = match told {
             Notification::MemberUp(id) => {
                 self.here.insert(id.at);
-                self.seek.met(id.at);
+                self.seek.met(self.now, id.at);
                 self.know(id, State::Up);
                 Event::Up(id.clone())
             }
@@ -323,6 +323,11 @@
         known.into_values().collect()
     }
 
+    /// Those that are there, as far as it is known; one that is doubted is not counted on.
+    pub fn up(&self) -> impl Iterator<Item = &Id> {
+        self.swim.iter_members().filter(|m| m.state() == foca::State::Alive).map(foca::Member::id)
+    }
+
     /// Of a name, the latest life that was heard of, wherever it was.
     pub fn named(&self, name: &str) -> Option<Seen> {
         let all = self.seen().into_iter().filter(|s| &*s.id.name == name);
--- a/crates/members/src/seek.rs
+++ b/crates/members/src/seek.rs
@@ -11,6 +11,12 @@
 /// The longest one: a cut that is healed is noticed within some of them. A fleet of 1,000 that all seek at this pace
 /// ask 100 times a second, all over it.
 const LAST: Tenths = 100_000;
+/// One answer names some thirty others. A newcomer that learns of somebody asks on at this pace, those that are there, too,
+/// until a second brings no news.
+const QUICK: Tenths = 2_500;
+const NEWS: Tenths = 10_000;
+/// For so long it is a newcomer; later, word of changes comes by itself, and all would ask because of one.
+const NEWCOMER: Tenths = 300_000;
 /// Addresses remembered beyond the seeds: the fleet that there was, and then some.
 const MOST: usize = 4_096;
 
@@ -19,6 +25,9 @@
     seeds: Vec<SocketAddrV4>,
     known: BTreeSet<SocketAddrV4>,
     pause: Tenths,
+    begun: Tenths,
+    /// Until when it asks quickly.
+    news: Tenths,
     pub(crate) due: Tenths,
 }
 
@@ -27,18 +36,25 @@
         let seeds = seeds.iter().copied().filter(|s| *s != own).collect();
         // Those that start together do not ask together.
         let due = now + rng.u64(0..FIRST);
-        Seek { own, seeds, known: BTreeSet::new(), pause: FIRST, due }
+        Seek { own, seeds, known: BTreeSet::new(), pause: FIRST, begun: now, news: now, due }
     }
 
-    pub(crate) fn met(&mut self, at: SocketAddrV4) {
+    /// One is there that was not.
+    pub(crate) fn met(&mut self, now: Tenths, at: SocketAddrV4) {
         if at != self.own && self.known.len() < MOST {
             self.known.insert(at);
         }
+        if now < self.begun + NEWCOMER {
+            (self.news, self.due) = (now + NEWS, self.due.min(now + QUICK));
+        } else {
+            // Others that are missed may be back as well; with nobody missing nothing is asked.
+            self.hurry(now);
+        }
     }
 
     /// As at the start: something has happened that makes haste worth while.
     pub(crate) fn anew(&mut self, now: Tenths, rng: &mut Rng) {
-        (self.pause, self.due) = (FIRST, now + rng.u64(0..FIRST));
+        (self.pause, self.begun, self.due) = (FIRST, now, now + rng.u64(0..FIRST));
     }
 
     /// One is missed that was there.
@@ -58,8 +74,12 @@
             return None;
         }
         // Between half and one and a half of the pause: askers spread, however they began.
-        self.due = now + self.pause / 2 + rng.u64(0..=self.pause);
+        let pause = if now < self.news { QUICK } else { self.pause };
+        self.due = now + pause / 2 + rng.u64(0..=pause);
         self.pause = (self.pause * 2).min(LAST);
+        if now < self.news && rng.bool() {
+            return rng.choice(here).copied();
+        }
         let missing = |at: &&SocketAddrV4| !here.contains(at);
         let seeds: Vec<_> = self.seeds.iter().filter(missing).collect();
         let others: Vec<_> = self.known.iter().filter(missing).collect();
