--- a/crates/cli/tests/recall.rs
+++ b/crates/cli/tests/recall.rs
@@ -204,7 +204,10 @@
         std::thread::sleep(Duration::from_secs(3));
         let before = rig.fleet.front(2).lines().len();
         rig.fleet.front(2).wake();
-        rig.line(2, "neighbours: slept for ");
+        // Stopped so early, it may not have begun to believe anything that it could drop.
+        if step > 0 {
+            rig.line(2, "neighbours: slept for ");
+        }
         until("it has asked anew", || {
             let lines = rig.fleet.fronts[2].as_ref().unwrap().lines();
             lines[before..].iter().any(|l| l.contains("recall: from neighbours, 1 pages: "))
@@ -229,6 +232,8 @@
     rig.ask(2);
     // It ends, whoever does not answer.
     rig.line(2, "recall: from neighbours, ");
+    // Longer than any pause of its own.
+    std::thread::sleep(Duration::from_secs(1));
     rig.fleet.front(0).wake();
     rig.line(0, "neighbours: slept for ");
     rig.ask(0);
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -25,9 +25,11 @@
 const DOUBT: f64 = 4.0;
 /// Word of a change is passed on this often.
 const GOSSIP: Tenths = 2_500;
-/// A sleep of its own is at most a gossip's pause, or, among nobody, until the next question. Whoever was not called for
-/// so much longer was stopped: a busy machine's pauses stay well below.
-const STALL: Tenths = 25_000;
+/// It is called at the least once in a gossip's pause. Whoever was not called for two and a half probes was stopped: less
+/// than the doubt of four, so that no accusation ripens meanwhile. Three quarters of a second at the least, longer than a
+/// busy machine's pauses, and no more than what is still a short stop to people.
+const STALL: f64 = 2.5;
+const STALLS: [Tenths; 2] = [7_500, 25_000];
 /// With nobody heard for so many probes, there is nobody: each of its own was unanswered, and nobody probed it.
 const UNHEARD: Tenths = 5;
 /// Down ones are remembered for so long: then their address may serve anybody.
@@ -299,7 +301,7 @@
         std::mem::take(&mut self.rest.out)
     }
 
-    /// When `tick` is due. Later than that by `STALL`, and it counts as having slept.
+    /// When `tick` is due. Two and a half probes without any call, and it counts as having slept.
     pub fn next(&self) -> Tenths {
         let timer = self.rest.timers.peek().map_or(Tenths::MAX, |t| t.0.0);
         // Often enough that a stall is told from a long pause of its own.
@@ -370,7 +372,8 @@
         let now = now.max(self.rest.now);
         let slept = now - self.called;
         (self.rest.now, self.called) = (now, now);
-        if slept <= STALL {
+        let stall = (STALL * self.settings.probe as f64) as Tenths;
+        if slept <= stall.clamp(STALLS[0], STALLS[1]) {
             return;
         }
         self.rest.out.push(Do::Tell(Event::Slept(slept)));
--- a/crates/operator/src/neighbours.rs
+++ b/crates/operator/src/neighbours.rs
@@ -73,7 +73,7 @@
     let enabled = own.flag("enabled").unwrap_or(false);
     let (listen, address, seeds) = (place(own, "listen"), place(own, "address"), seeds(own));
     let about = own.whole("about", 1..=100_000).unwrap_or(100) as u32;
-    let probe_ms = own.whole("probe_ms", 100..=60_000).unwrap_or(1_000);
+    let probe_ms = own.whole("probe_ms", 200..=60_000).unwrap_or(1_000);
     let words = own.whole("words", 10..=10_000).unwrap_or(40) as u32;
     if !enabled {
         for key in ["station", "seal_keys"] {
