--- a/crates/cli/tests/helper/fleet.rs
+++ b/crates/cli/tests/helper/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use doorgrade_front::neighbours::{Place, Seems, Status, status};
@@ -19,7 +20,7 @@
 
 pub struct Fleet {
     pub folder: PathBuf,
-    pub links: Links,
+    pub links: Arc<Links>,
     /// Where each listens itself, and where others reach it.
     pub own: Vec<SocketAddr>,
     pub at: Vec<SocketAddrV4>,
@@ -50,7 +51,7 @@
         std::fs::write(folder.join("seal-keys.hcl"), format!("key \"1\" {{ secret = \"{secret}\" }}\n"))
             .unwrap();
         std::fs::write(folder.join("config.json"), config).unwrap();
-        let links = Links::new(1);
+        let links = Arc::new(Links::new(1));
         // A free port of each is found by taking it for a moment.
         let taken: Vec<_> = (0..size).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
         let own: Vec<_> = taken.iter().map(|s| s.local_addr().unwrap()).collect();
--- a/crates/cli/tests/neighbours.rs
+++ b/crates/cli/tests/neighbours.rs
@@ -5,10 +5,11 @@
 
 use std::path::Path;
 use std::process::Command;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use doorgrade_front::neighbours::Place;
 use doorgrade_standins::links::Way;
+use doorgrade_standins::timeline::{Timeline, What};
 use helper::fleet::{Fleet, names, until};
 
 fn command(settings: &Path, args: &[&str]) -> (i32, String, String) {
@@ -118,3 +119,29 @@
     let (code, _, err) = command(Path::new("/dev/null"), &["neighbours"]);
     assert!(code == 1 && err.contains("block 'neighbours' is off"), "{code} {err}");
 }
+
+/// Deaths, stalls, cuts of one way or both, slow and lossy links, by a seed.
+#[test]
+fn a_drawn_time_line_of_troubles_ends_with_all_agreed() {
+    let mut fleet = Fleet::new("neighbours-drawn", 6);
+    fleet.all_see(0..6, 0..6);
+    let line = Timeline::drawn(28, &names(0..6), 8_000, 14);
+    // Played as it would be from a file.
+    let line = Timeline::read(&line.write()).unwrap();
+    let links = fleet.links.clone();
+    let of = |name: &str| name[1..].parse::<usize>().unwrap();
+    let mut deaths = 0;
+    line.play(Instant::now(), &links, |what| match what {
+        What::Kill { process } => {
+            deaths += 1;
+            fleet.front(of(process)).kill();
+        }
+        What::Stop { process } => fleet.front(of(process)).stop(),
+        What::Wake { process } => fleet.front(of(process)).wake(),
+        What::Start { process } => fleet.start(of(process)),
+        _ => {}
+    });
+    assert!(deaths > 0, "the seed draws none");
+    fleet.all_see(0..6, 0..6);
+    fleet.words_hold();
+}
--- a/crates/lab/src/returns.rs
+++ b/crates/lab/src/returns.rs
@@ -8,7 +8,7 @@
 //!
 //! - `untold_`: caches that don't say how old their copies are, so that a front knows what it knew before: the fills
 //!   that it saw itself. The first baseline.
-//! - no prefix, or `alone_` beside others: the estimate from `Made-At`; the program without memory.
+//! - `alone_`: the estimate from `Made-At`; the program without memory.
 //! - `snapshot_`, `neighbours_`, `memory_`: with each source of memory, and with both.
 //!
 //! Renewals, waits and the archive's load are counted at the stand-ins.
--- a/crates/standins/src/timeline.rs
+++ b/crates/standins/src/timeline.rs
@@ -10,7 +10,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::links::{ANY, Links, Way};
-use crate::process::Process;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -188,27 +187,3 @@
         std::fs::rename(part, &self.at)
     }
 }
-
-/// What most rigs do with the steps that are not of links: signals to processes, and their disks.
-pub fn perform(
-    what: &What,
-    processes: &mut HashMap<String, Process>,
-    disks: &HashMap<String, Disk>,
-    mut start: impl FnMut(&str) -> io::Result<Process>,
-) -> io::Result<()> {
-    let of = |name: &String| disks.get(name).ok_or_else(|| io::Error::other(format!("{name} has no disk")));
-    match what {
-        What::Kill { process } => processes.get_mut(process).into_iter().for_each(Process::kill),
-        What::Stop { process } => processes.get(process).into_iter().for_each(Process::stop),
-        What::Wake { process } => processes.get(process).into_iter().for_each(Process::wake),
-        What::Start { process } => {
-            let started = start(process)?;
-            processes.insert(process.clone(), started);
-        }
-        What::DiskLost { process } => of(process)?.lose()?,
-        What::DiskKept { process } => of(process)?.keep()?,
-        What::DiskBack { process } => of(process)?.put_back()?,
-        What::Way { .. } | What::Reset { .. } | What::Heal => {}
-    }
-    Ok(())
-}
