--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -323,6 +323,11 @@
         }
         let known = own.kept.process;
         let run = own.kept.run;
+        if own.kept == Kept::default() && !processes.is_empty() {
+            // The journal was lost. What runs was wanted by somebody; to stop it would be to act on knowing nothing.
+            (own.kept.want, own.kept.revision, own.inherited) = (Want::Running, 1, true);
+            own.kept.by = "found running".into();
+        }
         // Of this run there should be one; of two the one that is known, or else the one that began first.
         let mut ours: Vec<Process> = processes.iter().filter(|p| p.0 == run).map(|p| p.1).collect();
         ours.sort_by_key(|p| (Some(*p) != known, p.born, p.id));
@@ -409,9 +414,12 @@
         self.clock(now);
         let Some(place) = self.of_run(name, run) else { return };
         let own = &mut self.instances[place];
-        let before = own.phase;
+        let (before, inherited) = (own.phase, own.inherited);
         own.checked(self.now, check);
         let phase = own.phase;
+        if own.inherited != inherited {
+            self.keep(place, out);
+        }
         if phase != before {
             out.push(Do::Tell(Line::Phase { name: name.into(), run, phase }));
         }
--- a/crates/fleet/src/fleet/steps.rs
+++ b/crates/fleet/src/fleet/steps.rs
@@ -84,7 +84,7 @@
             }
             Phase::Lost => self.term(place, out),
             // It still tells its clients to go elsewhere, by the word of an agent before this one.
-            Phase::Starting if own.drained => {
+            Phase::Starting if own.drained && !own.inherited => {
                 out.push(Do::Drain { name: name.clone(), process, on: false });
                 self.instances[place].drained = false;
             }
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -164,6 +164,8 @@
     pub was_ready: bool,
     /// It is being stopped since it did not do what it should.
     pub at_fault: bool,
+    /// Found running where the journal knew nothing of it: how it is wanted is taken from how it is.
+    pub inherited: bool,
     /// When to ask about it next.
     pub wakes: Tenths,
 }
@@ -174,6 +176,8 @@
 pub const SILENT_FOR: Tenths = 6 * SECOND;
 /// From SIGTERM to SIGKILL: the front's own end takes its clients' longest wait and a second.
 pub const KILL_AFTER: Tenths = 15 * SECOND;
+/// One found running that says for so long that it takes no clients was told so.
+pub const INHERITED: Tenths = 2 * SECOND;
 /// Ready for so long, a start has come to something.
 pub const PROVEN: Tenths = 30 * SECOND;
 /// How often the door is looked at; and of one that starts, since whoever waits for it waits for that.
@@ -204,6 +208,7 @@
             next_check: now,
             was_ready: false,
             at_fault: false,
+            inherited: false,
             wakes: 0,
         }
     }
@@ -233,6 +238,13 @@
         if check != Check::Silent {
             self.answered_at = now;
         }
+        if self.inherited
+            && (check == Check::Ready || check == Check::NotReady && now >= self.since + INHERITED)
+        {
+            // A person told it to drain, and is not to find it serving; one that only starts is ready sooner.
+            self.inherited = false;
+            self.kept.want = if check == Check::Ready { Want::Running } else { Want::Drained };
+        }
         match (self.phase, check) {
             (Phase::Starting | Phase::Lost, Check::Ready) => {
                 (self.was_ready, self.ready_at, self.drained) = (true, Some(now), false);
--- a/crates/fleet/tests/world.rs
+++ b/crates/fleet/tests/world.rs
@@ -512,6 +512,46 @@
     });
 }
 
+#[test]
+fn an_agent_without_its_journal_stops_nothing_that_runs_and_takes_back_no_drain() {
+    let mut w = up(2, 3);
+    let drain = w.order(What::Drain, &["i0"]).unwrap();
+    w.until("it drains", 60 * SECOND, |w| w.progress(drain).over());
+    w.order(What::Stop, &["i1"]).unwrap();
+    w.until("it has ended", 60 * SECOND, |w| w.phases(Phase::Stopped) == 1);
+    let before: BTreeSet<Process> = w.procs.iter().map(|p| p.process).collect();
+    let terms = w.terms.len();
+    w.fleet = None;
+    w.journal.clear();
+    w.agent();
+    w.until("all are known as they were", 20 * SECOND, |w| {
+        w.phases(Phase::Draining) == 1 && w.phases(Phase::Ready) == 4 && w.phases(Phase::Absent) == 1
+    });
+    w.pass(60 * SECOND);
+    assert_eq!(w.procs.iter().map(|p| p.process).collect::<BTreeSet<_>>(), before);
+    assert_eq!(w.terms.len(), terms, "nobody was told to stop");
+    // It was written down: the next agent knows it from its journal.
+    w.fleet = None;
+    w.agent();
+    w.until("and again", 20 * SECOND, |w| w.phases(Phase::Draining) == 1 && w.phases(Phase::Ready) == 4);
+    let all = w.order_all(What::Start);
+    w.until("all run", 120 * SECOND, |w| w.progress(all).over());
+    assert_eq!(w.phases(Phase::Ready), 6);
+    // Killed before it has seen how they are, an agent leaves nothing half known.
+    for dies_at in 1..12 {
+        w.fleet = None;
+        w.journal.clear();
+        w.dies_at = Some(w.done + dies_at);
+        w.agent();
+        w.pass(SECOND);
+        w.dies_at = None;
+        w.fleet = None;
+        w.agent();
+        w.until("all are known", 20 * SECOND, |w| w.phases(Phase::Ready) == 6);
+    }
+    assert_eq!(w.terms.len(), terms);
+}
+
 #[test]
 fn a_journal_that_cannot_be_written_stops_orders_and_nothing_else() {
     let mut w = up(1, 3);
