A service on an older copy of its store gives nobody what is older than they ran

A service that starts on an older copy meets what fronts run and opens a new epoch, but a front that lost its own store can't say what it ran: the first to come was given the copy's last version at once (service/waves.rs, offer), seen in tests/dark.rs.

Change: for publication.listen_ms after a start on a store, the longest pause between a front's tries, nothing published before is offered to fronts that run nothing. What is published meanwhile goes out at once. Weighed and left: until somebody confirms the last number (one that lagged would), until a person says so (each new machine would wait for one).

--- a/crates/cli/tests/versions.rs
+++ b/crates/cli/tests/versions.rs
@@ -2,14 +2,14 @@
 
 mod helper;
 
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output, Stdio};
 
 use doorgrade_standins::client::Asked;
 use doorgrade_standins::feed::record;
 use doorgrade_standins::versions::{Place, SERVICE};
 use doorgrade_standins::{Client, Directory, Feed, Member, Role, Spec};
+use helper::control::{Control, QUICK, control};
 use helper::{Front, signal, start, until};
 use serde_json::Value;
 
@@ -34,34 +34,6 @@
 }
 "#;
 
-struct Control {
-    process: Child,
-    fronts: SocketAddr,
-    operators: SocketAddr,
-}
-
-impl Drop for Control {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
-}
-
-fn control(place: &Place, at: &str) -> Control {
-    use std::io::{BufRead, BufReader};
-    let file = place.control(at, "127.0.0.1:0", "  soak_ms = 50\n  answer_within_ms = 5000").unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
-    let mut process = command.arg("control").arg("--file").arg(file).stderr(Stdio::piped()).spawn().unwrap();
-    let mut lines = BufReader::new(process.stderr.take().unwrap()).lines();
-    let line = lines.by_ref().map_while(Result::ok).find(|l| l.contains("fronts at ")).expect("it starts");
-    std::thread::spawn(move || lines.for_each(drop));
-    let address = |after: &str| {
-        let (_, rest) = line.split_once(after).unwrap();
-        rest.split([',', ' ']).next().unwrap().parse().unwrap()
-    };
-    Control { process, fronts: address("fronts at "), operators: address("operators at ") }
-}
-
 /// A front's settings, which have the commands' as well.
 fn settings(place: &Place, control: &Control) -> PathBuf {
     let text = format!(
@@ -102,7 +74,7 @@
     fn start(name: &str) -> Rig {
         let place = Place::new(name).unwrap();
         place.issue("n1", &place.fronts, &["n1"], 30).unwrap();
-        let control = control(&place, "127.0.0.1:0");
+        let control = control(&place, "127.0.0.1:0", QUICK);
         let settings = settings(&place, &control);
         let directory = Directory::default();
         let member = |id, role| Member::start(Spec::new(id, "127.0.0.1:0", role), &directory).unwrap();
@@ -259,7 +231,7 @@
     let _ = rig.control.process.wait();
     let front = rig.front();
     assert!(front.log().iter().any(|l| l.contains("versions: this start runs ")), "{:?}", front.log());
-    rig.control = control(&rig.place, &at);
+    rig.control = control(&rig.place, &at, QUICK);
     rig.settings = settings(&rig.place, &rig.control);
     rig.connected();
     assert_eq!(json(&config(&rig.settings, &["status", "--json"]))["last"], 2);
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -61,6 +61,7 @@
             drop: p.drop,
             most_fronts: *most_fronts as usize,
             history: p.history as usize,
+            listen: p.listen_ms * 10,
         }
     }
 
--- a/crates/operator/src/control.rs
+++ b/crates/operator/src/control.rs
@@ -38,6 +38,8 @@
     pub missing: f64,
     pub drop: f64,
     pub history: u64,
+    /// After a start on what is in the store, nothing is offered for so long to fronts that run nothing.
+    pub listen_ms: u64,
 }
 
 /// Certificate, key and whom to believe.
@@ -102,6 +104,7 @@
         missing: 0.2,
         drop: 0.03,
         history: 64,
+        listen_ms: 60_000,
     };
     let Some(block) = block else { return is };
     let whole = |key, range, to: &mut u64| *to = block.whole(key, range).unwrap_or(*to);
@@ -109,6 +112,7 @@
     whole("soak_ms", 0..=86_400_000, &mut is.soak_ms);
     whole("answer_within_ms", 100..=3_600_000, &mut is.answer_within_ms);
     whole("history", 2..=10_000, &mut is.history);
+    whole("listen_ms", 0..=3_600_000, &mut is.listen_ms);
     for (key, to) in [("refused", &mut is.refused), ("missing", &mut is.missing), ("drop", &mut is.drop)] {
         *to = block.share(key).unwrap_or(*to);
     }
--- a/crates/versions/src/service.rs
+++ b/crates/versions/src/service.rs
@@ -52,6 +52,9 @@
     pub most_fronts: usize,
     /// Contents kept, for deltas and for going back.
     pub history: usize,
+    /// A service that starts on what it finds in its store offers nothing for so long to fronts that run nothing: the
+    /// store may be an older copy, and whoever ran what came after it has to be heard first.
+    pub listen: Tenths,
 }
 
 impl Default for Rules {
@@ -70,6 +73,8 @@
             drop: 0.03,
             most_fronts: 200_000,
             history: 64,
+            // The longest pause between a front's tries: whoever lives has come by then.
+            listen: 600_000,
         }
     }
 }
@@ -295,6 +300,10 @@
     next_place: f64,
     places: FxHashMap<Box<str>, Tenths>,
     superseded: Option<u64>,
+    /// Until when its store may be an older copy, of which it would hear.
+    listens: Option<Tenths>,
+    /// The first number that was published since its start.
+    first: u64,
     /// The earliest time asked for that has not come: there is one timer, however much waits.
     wakes: Option<Tenths>,
     /// Deltas made lately, by what they lead from and to.
@@ -324,6 +333,7 @@
     /// `found.epoch` 0: there was no store, and a new epoch is opened.
     pub fn start(now: Tenths, rules: Rules, keys: Keys, found: Found, out: &mut Vec<Do>) -> Service {
         let fresh = found.epoch == 0;
+        let listens = (!found.versions.is_empty()).then_some(now + rules.listen);
         let mut service = Service {
             rules,
             keys,
@@ -340,6 +350,8 @@
             next_place: now as f64,
             places: FxHashMap::default(),
             superseded: None,
+            listens,
+            first: u64::MAX,
             wakes: None,
             deltas: VecDeque::new(),
             serves: (0.0, 0),
@@ -358,6 +370,7 @@
             service.store_state(out);
         }
         service.wake(now + service.rules.alive, out);
+        listens.into_iter().for_each(|at| service.wake(at, out));
         service
     }
 
@@ -402,6 +415,10 @@
             return;
         }
         self.wakes = None;
+        if self.listens.is_some_and(|at| at <= now) {
+            self.listens = None;
+            (0..self.fronts.len()).for_each(|at| self.offer(now, at, out));
+        }
         while let Some(&(at, front, conn)) = self.due.front() {
             if at > now {
                 break;
@@ -415,6 +432,7 @@
         self.places.retain(|_, place| *place + 600_000 > now);
         self.look(now, out);
         self.wake(now + self.rules.alive / 4, out);
+        self.listens.into_iter().for_each(|at| self.wake(at, out));
     }
 }
 
--- a/crates/versions/src/service/fronts.rs
+++ b/crates/versions/src/service/fronts.rs
@@ -152,7 +152,7 @@
     fn new_epoch(&mut self, because: Id, out: &mut Vec<Do>) {
         self.epoch = self.epoch.max(because.epoch) + 1;
         out.push(Do::Tell(Line::NewEpoch { epoch: self.epoch, because }));
-        (self.base, self.rollout) = (None, None);
+        (self.base, self.rollout, self.first) = (None, None, u64::MAX);
         let old = std::mem::take(&mut self.versions);
         for (number, version) in (1..).zip(old.into_values()) {
             let version = Version { id: Id { epoch: self.epoch, number, ..version.id }, ..version };
--- a/crates/versions/src/service/waves.rs
+++ b/crates/versions/src/service/waves.rs
@@ -42,6 +42,7 @@
         let version = Version { id, content, note: note.into(), at: now };
         out.push(Do::Store(version.clone()));
         self.versions.insert(id.number, version);
+        self.first = self.first.min(id.number);
         let keeps = |n: &u64| Some(*n) == self.base || *n == id.number;
         while self.versions.len() > self.rules.history
             && let Some(oldest) = self.versions.keys().copied().find(|n| !keeps(n))
@@ -181,7 +182,9 @@
         let Some(conn) = front.conn else { return };
         let has = front.runs.is_some_and(|r| r.place() >= goal.place());
         let asked = front.offered.is_some_and(|o| o.0 == goal);
-        if has || asked {
+        // What it ran it can't say; of what is published from now on nobody ran anything later.
+        let unknown = front.runs.is_none() && self.listens.is_some() && goal.number < self.first;
+        if has || asked || unknown {
             return;
         }
         front.offered = Some((goal, now));
--- a/crates/versions/tests/machines.rs
+++ b/crates/versions/tests/machines.rs
@@ -623,6 +623,44 @@
     assert_eq!(w.running(four), 30);
 }
 
+#[test]
+fn a_front_without_a_store_is_not_given_an_older_copys_versions_by_being_first() {
+    let mut w = World::new(9, 6, quick());
+    w.pass(5 * SECOND);
+    let one = w.publish("good one").unwrap();
+    w.settle();
+    let copy = w.found.clone();
+    let two = w.publish("good two").unwrap();
+    w.settle();
+    assert_eq!(w.running(two), 6);
+    // All die, the service with them; one has lost its store, and is the first to come to the older copy.
+    w.kill_service();
+    (0..6).for_each(|n| w.kill_front(n, 1_000 * SECOND));
+    w.hosts[0].good = None;
+    w.found = copy.clone();
+    w.start_service();
+    w.start_front(0);
+    w.pass(20 * SECOND);
+    assert_eq!((w.running(one), w.running(two)), (0, 0), "it runs its own file");
+    (1..6).for_each(|n| w.start_front(n));
+    w.pass(180 * SECOND);
+    assert_eq!((w.running(one), w.running(two)), (0, 5));
+    let three = w.publish("good three").unwrap();
+    w.settle();
+    assert_eq!(w.running(three), 6);
+    // With nobody there who ran anything later, the copy is what there is, once they have had the time to come.
+    w.kill_service();
+    (0..6).for_each(|n| w.kill_front(n, 1_000 * SECOND));
+    (0..6).for_each(|n| w.hosts[n].good = None);
+    w.found = copy;
+    w.start_service();
+    (0..6).for_each(|n| w.start_front(n));
+    w.pass(50 * SECOND);
+    assert_eq!(w.running(one), 0);
+    w.pass(60 * SECOND);
+    assert_eq!(w.running(one), 6);
+}
+
 #[test]
 fn of_two_services_the_later_one_is_followed_and_the_other_steps_back() {
     let mut w = World::new(5, 12, quick());
--- a/deploy/control.hcl
+++ b/deploy/control.hcl
@@ -28,4 +28,5 @@
   missing          = 0.2              # or does not answer,
   drop             = 0.03             # or when service has fallen by more than that of all others
   history          = 64               # contents kept
+  listen_ms        = 60000            # after a start: for so long nothing is offered to fronts that run nothing
 }
