Words between fronts go by a clock that is never set back; their lists are bounded

Need: hard cases ask for clock offsets told to a process; the list of members grew with what holders of keys tell. With the clock set back by an hour the side thread's timers all lay an hour ahead: it answered probes and sent none (front/neighbours.rs took the system's time as it stood).

Change: members, words, asking and giving go by the monotonic clock that the reducer has; what is remembered goes by the clock that caches have. A list of more than eight times 'about' is forgotten and begun anew. DOORGRADE_CLOCK_OFF names a file with an offset, read at start and SIGHUP, for tests. A front hands on what it has seen in batches of 64 or 100 ms: its side thread is woken less.

Measured: tests with real processes an hour and a minute off; 2,000 members told of to one that was told of 10: 512 at the most. Without the clock the process test fails.

--- a/crates/cli/tests/helper/fleet.rs
+++ b/crates/cli/tests/helper/fleet.rs
@@ -80,10 +80,25 @@
         path
     }
 
+    fn clock(&self, n: usize) -> PathBuf {
+        self.folder.join(format!("n{n}.clock"))
+    }
+
+    /// By how much a front takes the clock for off: from its next start, or from now where it runs.
+    pub fn set_clock(&mut self, n: usize, ms: i64) {
+        std::fs::write(self.clock(n), ms.to_string()).unwrap();
+        if let Some(front) = self.fronts[n].as_mut().and_then(|f| f.alive().then_some(f)) {
+            let told = format!("the clock is taken to be {ms} ms off");
+            front.hang_up();
+            assert!(front.line(&told, LONG).is_some(), "{:?}", front.lines());
+        }
+    }
+
     pub fn start(&mut self, n: usize) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
         command.env("PROXY_CONFIG", self.folder.join("config.json")).env("PROXY_NAME", format!("n{n}"));
         command.env("PROXY_LISTEN", "127.0.0.1:0").env("DOORGRADE_SETTINGS", self.settings(n));
+        command.env("DOORGRADE_CLOCK_OFF", self.clock(n));
         let process = Process::start(&mut command).unwrap();
         assert!(process.line(" listens on ", LONG).is_some(), "{:?}", process.lines());
         self.fronts[n] = Some(process);
--- a/crates/cli/tests/neighbours.rs
+++ b/crates/cli/tests/neighbours.rs
@@ -145,3 +145,25 @@
     fleet.all_see(0..6, 0..6);
     fleet.words_hold();
 }
+
+/// A clock that is set back would stop every wait that goes by it; one set forward is a long sleep.
+#[test]
+fn a_clock_that_is_set_stops_no_probe_and_fools_nobody() {
+    let mut fleet = Fleet::new("neighbours-clock", 4);
+    fleet.all_see(0..4, 0..4);
+    fleet.set_clock(1, -3_600_000);
+    fleet.front(3).kill();
+    fleet.all_see(0..3, 0..3);
+    // One begins anew a minute late by its own clock, and one an hour early: nothing is kept of its life before.
+    fleet.set_clock(3, 60_000);
+    fleet.start(3);
+    fleet.all_see(0..4, 0..4);
+    fleet.front(2).kill();
+    fleet.set_clock(2, -3_600_000);
+    fleet.start(2);
+    fleet.all_see(0..4, 0..4);
+    fleet.set_clock(1, 0);
+    assert!(fleet.front(1).line("neighbours: slept for 36", helper::fleet::LONG).is_some());
+    fleet.all_see(0..4, 0..4);
+    fleet.words_hold();
+}
--- a/crates/front/src/neighbours.rs
+++ b/crates/front/src/neighbours.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{mpsc as queue, oneshot};
 use tokio::time::{sleep, timeout};
 
-use crate::clock;
+use crate::clock::{self, Clock};
 use crate::config::Config;
 use crate::conn::Event;
 use crate::memory::{self, Remember, Remembers};
@@ -180,7 +180,8 @@
         events: Sender<Event>,
         learned: &mut Option<queue::Sender<Vec<Learned>>>,
     ) -> Result<Side, String> {
-        let now = clock::unix();
+        let mut clock = Clock::default();
+        let now = clock.now();
         let life = (now / 10).max(self.remember.as_ref().map_or(0, |r| r.last_life.saturating_add(1)));
         let bind = |told: Told| {
             let socket = std::net::UdpSocket::bind(told.own.listen)
@@ -196,13 +197,13 @@
             self.remember.iter_mut().for_each(|r| r.ask(now));
         }
         Side::start("neighbours", move |stopped| async move {
-            let wire = match wire.map(|(told, socket)| Wire::new(told, socket, life)).transpose() {
+            let wire = match wire.map(|(told, socket)| Wire::new(told, socket, life, now)).transpose() {
                 Ok(wire) => wire,
                 Err(e) => return tracing::error!("neighbours: {e}"),
             };
-            Speaks { wire, remember: self.remember, events, life, pages: Words::new(MOST_PAGES, now) }
-                .run(came, stopped)
-                .await;
+            let pages = Words::new(MOST_PAGES, now);
+            let mut speaks = Speaks { wire, remember: self.remember, events, life, pages, clock };
+            speaks.run(came, stopped).await;
         })
     }
 }
@@ -216,7 +217,7 @@
 }
 
 impl Wire {
-    fn new(told: Told, socket: std::net::UdpSocket, life: u64) -> std::io::Result<Wire> {
+    fn new(told: Told, socket: std::net::UdpSocket, life: u64, now: Tenths) -> std::io::Result<Wire> {
         let socket = UdpSocket::from_std(socket)?;
         let own = &told.own;
         let (name, station) = (told.name.as_str().into(), own.station.clone());
@@ -230,7 +231,7 @@
         // Fronts of one seed, as a configuration may give them, are not to do all in step.
         let seed = told.seed ^ doorgrade::hash::text(&format!("{} {}", told.name, id.life));
         let keys = Keys::new(&told.secrets);
-        Ok(Wire { members: Members::new(id, settings, seed, clock::unix()), keys, socket, told })
+        Ok(Wire { members: Members::new(id, settings, seed, now), keys, socket, told })
     }
 
     /// Lost, or the buffer full: as any datagram may be.
@@ -273,6 +274,8 @@
     life: u64,
     /// Pages of status.
     pages: Words,
+    /// Of all but what is remembered: set back, the system's clock would stop every wait and probe.
+    clock: Clock,
 }
 
 /// A datagram; never where there is no socket.
@@ -289,7 +292,7 @@
         let mut bytes = [0; 1_501];
         let mut look = tokio::time::interval(LOOK_EACH);
         loop {
-            let now = clock::unix();
+            let now = self.clock.now();
             let dues = [
                 self.wire.as_ref().map(|w| w.members.next()),
                 self.remember.as_ref().map(Remember::due),
@@ -309,7 +312,7 @@
                 _ = look.tick() => self.wire.iter_mut().for_each(Wire::look),
                 _ = &mut stopped => {
                     // What it knows now is worth most to the start that follows.
-                    return self.remember.iter_mut().for_each(|r| r.write(clock::unix(), self.life));
+                    return self.remember.iter_mut().for_each(|r| r.write(self.clock.now(), self.life));
                 }
             }
             self.tick().await;
@@ -318,7 +321,7 @@
 
     /// Whatever is due.
     async fn tick(&mut self) {
-        let now = clock::unix();
+        let now = self.clock.now();
         if let Some(wire) = self.wire.as_mut().filter(|w| w.members.next() <= now) {
             wire.members.tick(now);
         }
@@ -336,9 +339,10 @@
     }
 
     async fn hear(&mut self, from: SocketAddrV4, bytes: &[u8]) {
+        let now = self.clock.now();
         let Some(wire) = &mut self.wire else { return };
         match wire.keys.open(wire.told.own.address, bytes) {
-            Ok([OF_MEMBERS, said @ ..]) => wire.members.hear(clock::unix(), said),
+            Ok([OF_MEMBERS, said @ ..]) => wire.members.hear(now, said),
             Ok([OF_FRONTS, said @ ..]) => match postcard::from_bytes(said) {
                 Ok(word) => self.word(from, word).await,
                 Err(_) => wire.members.refused += 1,
@@ -352,7 +356,7 @@
     }
 
     async fn word(&mut self, from: SocketAddrV4, word: Word) {
-        let now = clock::unix();
+        let now = self.clock.now();
         match word {
             Word::Ask { number, page } => self.answer(from, number, page).await,
             // Whoever asked is a command, and no front.
@@ -368,7 +372,7 @@
             }
             Word::Page { page, pages, fills, purges } => {
                 let Some(remember) = &mut self.remember else { return };
-                if let Some((fills, purges)) = remember.given(now, from, (page, pages), &fills, &purges) {
+                if let Some((fills, purges)) = remember.given(from, (page, pages), &fills, &purges) {
                     let _ = self.events.send(Event::Recall(fills, purges));
                 }
             }
@@ -380,7 +384,7 @@
     }
 
     async fn answer(&mut self, to: SocketAddrV4, number: u32, page: u16) {
-        let now = clock::unix();
+        let now = self.clock.now();
         let Some(wire) = self.wire.as_ref().filter(|_| self.pages.may(now)) else { return };
         let members = &wire.members;
         let seen = members.seen();
@@ -400,14 +404,18 @@
     }
 
     async fn perform(&mut self) {
+        let now = self.clock.now();
         let Some(wire) = &mut self.wire else { return };
         for done in wire.members.take() {
             match done {
                 Do::Send { to, said } => wire.say(to, OF_MEMBERS, &said).await,
                 Do::Tell(event) => {
                     tracing::info!("neighbours: {event}");
-                    if matches!(event, doorgrade_members::Event::Slept(_)) {
-                        self.remember.iter_mut().for_each(|r| r.slept(clock::unix()));
+                    let remember = self.remember.iter_mut();
+                    match event {
+                        doorgrade_members::Event::Slept(_) => remember.for_each(|r| r.slept(now)),
+                        doorgrade_members::Event::Up(_) => remember.for_each(|r| r.met(now)),
+                        _ => {}
                     }
                 }
             }
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -264,6 +264,10 @@
         self.work.learned.as_mut().map(std::mem::take).unwrap_or_default()
     }
 
+    pub fn learned_now(&self) -> usize {
+        self.work.learned.as_ref().map_or(0, Vec::len)
+    }
+
     pub fn served(&self) -> Served {
         self.work.served
     }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -13,8 +13,10 @@
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use tokio::sync::{mpsc as queue, oneshot};
 
+use doorgrade::Tenths;
+
 use crate::accept;
-use crate::clock::Clock;
+use crate::clock::{self, Clock};
 use crate::config::{Config, Renewal};
 use crate::conn::{self, ConnId, Event, Port};
 use crate::neighbours::Beside;
@@ -57,6 +59,7 @@
         },
     );
     let _named = tracing::info_span!("serve", front = config.name).entered();
+    clock::heed_tests();
     // One core is told; a coroutine reads and writes through rings on the heap, so small stacks do.
     may::config().set_workers(1).set_stack_size(0x1000);
     let (events, happened) = channel();
@@ -84,6 +87,7 @@
         taken: None,
         served: kept.is_some().then(|| served.clone()),
         learned: None,
+        handed: 0,
     };
     if let Some((fills, purges)) = known {
         driver.reducer.input(clock.now(), Input::Recall(fills, purges));
@@ -177,6 +181,7 @@
                         }
                     }
                     if renew.swap(false, Ordering::SeqCst) {
+                        clock::heed_tests();
                         in_use.reload();
                     }
                 }
@@ -196,15 +201,21 @@
     taken: Option<oneshot::Sender<()>>,
     /// Where to put how it serves, if anybody looks.
     served: Option<Arc<Served>>,
-    /// Where to put what was seen, if anybody remembers it.
+    /// Where to put what was seen, if anybody remembers it, and when it was put there last.
     learned: Option<queue::Sender<Vec<Learned>>>,
+    handed: Tenths,
 }
 
+/// What was seen is handed on together, so that whoever remembers it is not woken for each answer: so many, or as long.
+/// A snapshot is written a few times a second at the most, and what a crash loses of it is less than between two of them.
+const TOGETHER: usize = 64;
+const HANDED_EACH: Tenths = 1_000;
+
 impl Driver {
     fn run(&mut self, clock: &mut Clock, happened: &Receiver<Event>) {
         loop {
             if self.perform() {
-                return;
+                return self.hand_on();
             }
             let now = clock.now();
             let event = match self.reducer.next_tick() {
@@ -222,12 +233,20 @@
             if let Some(served) = &self.served {
                 served.put(self.reducer.served());
             }
-            if let Some(to) = &self.learned {
-                let seen = self.reducer.learned();
-                if !seen.is_empty() {
-                    // Whoever remembers is behind: it does without. Nothing here waits for it.
-                    let _ = to.try_send(seen);
-                }
+            // An input comes each quarter of a second at the least.
+            if self.reducer.learned_now() >= TOGETHER || now >= self.handed + HANDED_EACH {
+                self.handed = now;
+                self.hand_on();
+            }
+        }
+    }
+
+    fn hand_on(&mut self) {
+        if let Some(to) = &self.learned {
+            let seen = self.reducer.learned();
+            if !seen.is_empty() {
+                // Whoever remembers is behind: it does without. Nothing here waits for it.
+                let _ = to.try_send(seen);
             }
         }
     }
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -32,6 +32,10 @@
 const STALLS: [Tenths; 2] = [7_500, 25_000];
 /// With nobody heard for so many probes, there is nobody: each of its own was unanswered, and nobody probed it.
 const UNHEARD: Tenths = 5;
+/// More than so many times what operators say of the fleet's size is no fleet: whoever tells of them has a key, and lies or is
+/// ill. `about` may be off by a factor of three.
+const MOST_TOLD: usize = 8;
+const LEAST_TOLD: usize = 512;
 /// Down ones are remembered for so long: then their address may serve anybody.
 const REMEMBERED: Duration = Duration::from_secs(3_600);
 /// What fits in one datagram on any path, less the seal.
@@ -76,6 +80,8 @@
     Slept(Tenths),
     /// Others took it for dead; it has come back as a later life.
     TakenForDead(Id),
+    /// So many are told of that they can't be: nothing of it is believed.
+    TooMany(usize),
     /// It is among others, or not any more.
     Among,
     Alone,
@@ -89,6 +95,9 @@
             Event::Reborn { was, is } => write!(f, "{was} has begun anew: {is}"),
             Event::Slept(time) => write!(f, "slept for {} ms: nothing believed before holds", time / 10),
             Event::TakenForDead(id) => write!(f, "was taken for dead, and is back as {id}"),
+            Event::TooMany(count) => {
+                write!(f, "{count} others are told of, which can't be: nothing told before holds")
+            }
             Event::Among => f.write_str("among neighbours"),
             Event::Alone => f.write_str("no neighbour answers"),
         }
@@ -174,6 +183,8 @@
     rng: Rng,
     settings: Settings,
     called: Tenths,
+    /// Datagrams heard, in a circle.
+    heard: u32,
     /// Datagrams that could not be used.
     pub refused: u64,
 }
@@ -276,7 +287,7 @@
             seek,
         };
         let swim = Members::swim(own, &settings, &mut rng);
-        Members { swim, rest, rng, settings, called: now, refused: 0 }
+        Members { swim, rest, rng, settings, called: now, heard: 0, refused: 0 }
     }
 
     fn swim(own: Id, settings: &Settings, rng: &mut Rng) -> Swim {
@@ -350,6 +361,7 @@
                 self.rest.out.push(Do::Tell(Event::Among));
             }
         }
+        self.bound();
         self.settle();
     }
 
@@ -395,6 +407,31 @@
         rest.seek.anew(rest.now, &mut self.rng);
     }
 
+    /// What is known of others is bounded, whatever holders of keys tell.
+    fn bound(&mut self) {
+        let most = (MOST_TOLD * self.settings.about as usize).max(LEAST_TOLD);
+        if self.rest.known.len() > most {
+            // Those that are down are the first to go; they are not asked any more either.
+            self.rest.known.retain(|_, k| k.state != State::Down);
+        }
+        // Ones that were told of as down without ever having been up stand in the detection alone: one datagram names some
+        // thirty, so they are counted now and then.
+        self.heard = self.heard.wrapping_add(1);
+        let told = match self.heard % 16 {
+            0 => self.swim.iter_membership_state().count(),
+            _ => 0,
+        };
+        if told > 2 * most || self.rest.known.len() > most {
+            let told = told.max(self.rest.known.len());
+            self.rest.out.push(Do::Tell(Event::TooMany(told)));
+            self.rest.known.clear();
+            if self.rest.standing != Standing::Alone {
+                self.rest.standing = Standing::Doubts;
+            }
+            self.begin_anew();
+        }
+    }
+
     /// Who hears nobody has nobody: others may all have begun anew, and know nothing of it; or it is cut off.
     fn settle(&mut self) {
         let unheard = self.rest.heard + UNHEARD * self.settings.probe <= self.rest.now;
--- a/crates/members/tests/world.rs
+++ b/crates/members/tests/world.rs
@@ -505,3 +505,34 @@
         prop_assert!(world.picture(0).is_superset(&before));
     }
 }
+
+/// Whoever holds a key may tell of as many as it likes.
+#[test]
+fn a_member_told_of_thousands_that_are_not_forgets_them_and_goes_on() {
+    let settings = |seeds| Settings { seeds, about: 10, probe: S, words: WORDS };
+    let id = |n: u32| {
+        let at = SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + n), 7_000);
+        Id { name: format!("n{n}").into(), station: "hill".into(), at, life: 1, again: 0 }
+    };
+    let (mut now, own) = (100 * S, id(1));
+    let mut member = Members::new(own.clone(), settings(vec![]), 1, now);
+    let (mut most, mut forgot) = (0, 0);
+    for n in 2..2_000 {
+        let mut other = Members::new(id(n), settings(vec![own.at]), u64::from(n), now);
+        now += S / 2;
+        other.tick(now);
+        member.tick(now);
+        for said in other.take() {
+            if let Do::Send { said, .. } = said {
+                member.hear(now, &said);
+            }
+        }
+        let told = |done: &Do| matches!(done, Do::Tell(Event::TooMany(_)));
+        forgot += member.take().iter().filter(|d| told(d)).count();
+        // Nobody of them is probed for long: time is short. So they stay.
+        now -= S / 2;
+        most = most.max(member.seen().len());
+    }
+    assert!(most <= 512 && forgot >= 3, "{most} known at once, forgotten {forgot} times");
+    assert_eq!(member.refused, 0);
+}
