--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,6 @@
 mod returns;
 mod rig;
 mod shape;
-mod shares;
 mod sizes;
 mod soak;
 mod stream;
@@ -103,11 +102,6 @@
         #[arg(long, requires = "virtual_only")]
         plot: Option<std::path::PathBuf>,
     },
-    /// What limits cost after a mass death, in virtual time
-    Shares {
-        #[command(flatten)]
-        how: How,
-    },
     /// A front's memory over as many accesses as 45 minutes bring, with caches, objects and clients always new
     Soak {
         #[command(flatten)]
@@ -169,7 +163,6 @@
             (how, figures)
         }
         Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
-        Subject::Shares { how } => (how.clone(), Ok(shares::run(&how))),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
     match figures {
--- a/src/control.rs
+++ b/src/control.rs
@@ -330,23 +330,6 @@
         }
     }
 
-    pub fn shared_by(&mut self, crew: f64) {
-        (self.crew, self.over) = (crew, 500.0 * (crew - 1.0));
-        let start = 20.0 / crew;
-        self.peers.iter_mut().for_each(|p| p.limit = p.limit.max(start));
-        self.fill_limit = self.fill_limit.max(2.0 * start);
-    }
-
-    pub fn forget_open(&mut self, now: Tenths) {
-        self.held.clear();
-        self.places.clear();
-        self.filling = Level::default();
-        self.peers.iter_mut().for_each(|p| {
-            p.out = Level::default();
-            p.out.at = now
-        });
-    }
-
     /// Until when an access may wait for something before it is pushed.
     fn latest(&self, place: usize) -> Tenths {
         let h = &self.held[place];
