A hand-over between homes is known again after a restart

Need: the return: a hand-over begun before a death was known only to fronts that saw it begin. A front that came back took the new list as it was and had moved objects fetched anew.

Measured: 60 random runs of changes and deaths name the same homes as a front that lived; a test of processes, killed in the middle of a hand-over of 30 of 60 objects: 0 requests at the archive with its disk, some without.

--- a/crates/cli/tests/tiers.rs
+++ b/crates/cli/tests/tiers.rs
@@ -116,3 +116,67 @@
     assert!(aside.contains(&format!("\"member\":\"{}\"", TRUNKS[1])), "{aside}");
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// Killed in the middle of a hand-over and back from its disk, a front asks old homes for what they hold; without its disk
+/// it would have that fetched anew.
+#[test]
+fn a_hand_over_begun_before_a_death_is_known_again() {
+    const OBJECTS: u64 = 60;
+    let directory = Directory::default();
+    let member_at = |id, role, keeps| {
+        Member::start(Spec { keeps, ..Spec::new(id, "127.0.0.1:0", role) }, &directory).unwrap()
+    };
+    let (cache, archive) = (member_at(CACHE, Role::Cache, 1), member_at(ARCHIVE, Role::Archive, 0));
+    let trunks = [TRUNKS[0], TRUNKS[1]].map(|id| member_at(id, Role::Trunk, 1_000));
+    trunks.iter().for_each(|t| t.hang(&[ARCHIVE]));
+    // All stands at the first parent.
+    let path = |key: u64| format!("/data/files/{key:016x}/0");
+    (0..OBJECTS).for_each(|key| trunks[0].preload(&path(key), 1_000));
+    let feed = Feed::start("127.0.0.1:0").unwrap();
+    let folder = std::env::temp_dir().join(format!("doorgrade-tiers-back-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let settings = folder.join("doorgrade.hcl");
+    let text = "hierarchy {\n  enabled = true\n  shape = \"shape.hcl\"\n  hand_over_ms = 60000\n}\n\
+                recall {\n  enabled = true\n  store = \"n1.redb\"\n  write_ms = 200\n}\n";
+    std::fs::write(&settings, text).unwrap();
+    let shape = |text: &str| std::fs::write(folder.join("shape.hcl"), text).unwrap();
+    let one = member(ARCHIVE, 1, 2, &[]) + &member(TRUNKS[0], 1, 1, &[ARCHIVE]);
+    shape(&one);
+    let config = config(&feed, &cache, &trunks, &archive);
+    let mut front = start(&config, Some(&settings));
+    let has = |front: &helper::Front, text: &str| front.log().iter().any(|line| line.contains(text));
+    until("one parent", || has(&front, "shape: 2 members"));
+    shape(&(one + &member(TRUNKS[1], 1, 1, &[ARCHIVE])));
+    front.signal("-HUP");
+    until("a hand-over begins", || has(&front, "50.0% of the objects move"));
+    let ask = |front: &helper::Front, keys: std::ops::Range<u64>| {
+        let mut client = Client::connect(front.at).unwrap();
+        for key in keys {
+            let (head, _) = client.ask("files", &format!("{key:016x}"), 2_000).unwrap();
+            assert!(head.starts_with("Status: 200"), "{head}");
+        }
+    };
+    ask(&front, 0..10);
+    assert_eq!(archive.asked(), 0, "all is had where it stands");
+    let store = folder.join("n1.redb");
+    let written = || std::fs::metadata(&store).and_then(|m| m.modified()).ok();
+    let before = written();
+    ask(&front, 10..12);
+    until("it is written down", || written() > before);
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    let _ = front.process.kill();
+    let _ = front.process.wait();
+    front = start(&config, Some(&settings));
+    until("it is known again", || has(&front, "homes: a hand-over is known again, over 2 lists"));
+    ask(&front, 12..40);
+    assert_eq!(archive.asked(), 0, "nothing was fetched anew");
+    // Without its disk half of the rest is.
+    let _ = front.process.kill();
+    let _ = front.process.wait();
+    std::fs::remove_file(&store).unwrap();
+    front = start(&config, Some(&settings));
+    ask(&front, 40..OBJECTS);
+    assert!(archive.asked() > 0, "or the test shows nothing");
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 
 use doorgrade::{Offering, Tenths};
+use doorgrade_hierarchy::homes::Kept;
 use doorgrade_operator::files;
 use doorgrade_operator::neighbours::Recall;
 use doorgrade_recall::{
@@ -17,6 +18,19 @@
 use crate::reducer::Learned;
 
 const RECORD: &str = "memory";
+const HOMES: &str = "homes";
+
+/// Homes of objects in a hierarchy that changes shape, as they are written down.
+#[derive(Serialize, Deserialize)]
+struct Homes {
+    /// Of what follows. A later one reads earlier ones.
+    format: u16,
+    front: Box<str>,
+    taken: Tenths,
+    lists: Vec<Kept>,
+}
+
+const HOMES_FORMAT: u16 = 1;
 
 /// The rules that a deployment's offerings make.
 pub fn rules(offerings: &[Offering], purge_done: Tenths, most: usize) -> Rules {
@@ -61,6 +75,8 @@
     tally: Tally,
     /// What was found at the start, for the front to hear before it serves.
     found: (Vec<Fill>, Vec<Purge>),
+    found_homes: Option<(Tenths, Vec<Kept>)>,
+    homes: Vec<Kept>,
     failed: Option<String>,
 }
 
@@ -91,6 +107,8 @@
             giving,
             tally: Tally::default(),
             found: Default::default(),
+            found_homes: None,
+            homes: Vec::new(),
             failed: None,
             own,
         };
@@ -99,6 +117,7 @@
     }
 
     fn load(&mut self, now: Tenths) {
+        self.found_homes = self.load_homes();
         let read = self.store.as_ref().map_or(Ok(None), read);
         let snapshot = match read {
             Ok(Some(snapshot)) => snapshot,
@@ -118,6 +137,30 @@
         self.found = (fills, purges);
     }
 
+    fn load_homes(&self) -> Option<(Tenths, Vec<Kept>)> {
+        let bytes = match self.store.as_ref()?.read(HOMES) {
+            Ok(bytes) => bytes?,
+            Err(trouble) => {
+                tracing::error!("recall: homes are left out: {trouble}");
+                return None;
+            }
+        };
+        let why = match postcard::from_bytes::<Homes>(&bytes) {
+            Ok(h) if h.format != HOMES_FORMAT => {
+                format!("their format is {}: expected {HOMES_FORMAT}", h.format)
+            }
+            Ok(h) if *h.front != *self.name => format!("they are {}'s", h.front),
+            Ok(h) => return Some((h.taken, h.lists)),
+            Err(_) => "they can't be read".into(),
+        };
+        tracing::warn!("recall: homes are left out: {why}");
+        None
+    }
+
+    pub fn homes(&self) -> Option<(Tenths, Vec<Kept>)> {
+        self.found_homes.clone()
+    }
+
     pub fn found(&self) -> (Vec<Fill>, Vec<Purge>) {
         self.found.clone()
     }
@@ -128,9 +171,10 @@
         let now = clock::unix();
         self.changed |= !seen.is_empty();
         for seen in seen {
-            match *seen {
-                Learned::Fill(fill) => self.memory.saw(now, fill),
-                Learned::Purge(purge) => self.memory.purged(now, purge),
+            match seen {
+                Learned::Fill(fill) => self.memory.saw(now, *fill),
+                Learned::Purge(purge) => self.memory.purged(now, *purge),
+                Learned::Homes(lists) => self.homes.clone_from(lists),
             }
         }
     }
@@ -144,10 +188,19 @@
     pub fn write(&mut self, now: Tenths, life: u64) {
         self.written = now;
         let Some(store) = self.store.as_ref().filter(|_| self.changed) else { return };
-        let snapshot = Snapshot::take(&self.memory, &self.name, life, clock::unix());
+        let taken = clock::unix();
+        let snapshot = Snapshot::take(&self.memory, &self.name, life, taken);
+        let (front, lists) = (self.name.as_str().into(), self.homes.clone());
+        let homes = Homes { format: HOMES_FORMAT, front, taken, lists };
+        let homes = (!homes.lists.is_empty()).then(|| postcard::to_stdvec(&homes)).transpose();
         let wrote = postcard::to_stdvec(&snapshot)
+            .and_then(|bytes| Ok((bytes, homes?)))
             .map_err(|e| Trouble::Failed(e.to_string().into()))
-            .and_then(|bytes| store.write(&[(RECORD, bytes)], &[]));
+            .and_then(|(bytes, homes)| {
+                let puts: Vec<_> =
+                    std::iter::once((RECORD, bytes)).chain(homes.map(|h| (HOMES, h))).collect();
+                store.write(&puts, &[])
+            });
         self.changed = wrote.is_err();
         let failed = wrote.err().map(|t| t.to_string());
         // The same again and again is one line.
--- a/crates/front/src/neighbours.rs
+++ b/crates/front/src/neighbours.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use doorgrade::Tenths;
+use doorgrade_hierarchy::homes::Kept;
 use doorgrade_members::seal::Keys;
 use doorgrade_members::{Do, Id, Members, Seen, Settings, Standing, State, Words};
 use doorgrade_operator::files;
@@ -174,6 +175,11 @@
         self.remember.as_ref().map(Remember::found).unwrap_or_default()
     }
 
+    /// Homes of objects as they were before, and when that was written.
+    pub fn homes(&self) -> Option<(Tenths, Vec<Kept>)> {
+        self.remember.as_ref().and_then(Remember::homes)
+    }
+
     /// Binds the socket and starts the thread. What the front sees from now on goes to `learned`.
     pub fn start(
         mut self,
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use doorgrade::{AccessId, Ended, Front, Member, Offering, Outcome, Standing, Tenths};
+use doorgrade_hierarchy::homes::Kept;
 use doorgrade_recall::{Fill, Purge};
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -60,13 +61,16 @@
     Reload(Box<Renewal>),
     /// What was known before the start, or is known to neighbours, and holds.
     Recall(Vec<Fill>, Vec<Purge>),
+    /// Homes of objects as they were before the start, and when that was written.
+    Homes(Tenths, Vec<Kept>),
 }
 
 /// What the front has seen itself, for whoever remembers it. Times are the system's.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Learned {
     Fill(Fill),
     Purge(Purge),
+    Homes(Vec<Kept>),
 }
 
 /// One thing to do.
@@ -313,6 +317,7 @@
             Input::Tick => {}
             Input::Reload(renewal) => self.work.reload(&renewal),
             Input::Recall(fills, purges) => self.recall(&fills, &purges),
+            Input::Homes(taken, kept) => self.work.recall_homes(taken, kept),
             Input::Drain(on) => {
                 if std::mem::replace(&mut self.work.drains, on) != on {
                     tracing::info!(
--- a/crates/front/src/reducer/tiers.rs
+++ b/crates/front/src/reducer/tiers.rs
@@ -2,9 +2,10 @@
 
 use doorgrade::{Access, AccessId, Ended, Member, Tenths, Ways};
 use doorgrade_hierarchy::aim::aim;
+use doorgrade_hierarchy::homes::Kept;
 use doorgrade_hierarchy::{Change, Guide, Heard, Rules, Shape, guide, via};
 
-use super::Work;
+use super::{Learned, Work};
 use crate::config::Config;
 
 /// A ring is met by every fill that goes that way; the log has one line a second of it.
@@ -85,13 +86,44 @@
         let depth = tiers.guide.depth();
         tiers.via = tiers.loop_header.then(|| via::begin(&tiers.name, depth));
         tell(moved);
+        self.learn_homes(moved.is_some());
+    }
+
+    /// Homes have changed: whoever remembers them is told, in the system's time.
+    fn learn_homes(&mut self, changed: bool) {
+        let Some((tiers, learned)) = self.tiers.as_ref().zip(self.learned.as_mut()).filter(|_| changed)
+        else {
+            return;
+        };
+        let mut kept = tiers.guide.kept();
+        kept.iter_mut().for_each(|k| k.begun = k.begun.saturating_sub(self.ahead));
+        learned.push(Learned::Homes(kept));
+    }
+
+    /// Homes from before the start. The list after it has been told.
+    pub(super) fn recall_homes(&mut self, taken: Tenths, mut kept: Vec<Kept>) {
+        let Some(tiers) = &mut self.tiers else { return };
+        kept.iter_mut().for_each(|k| k.begun = k.begun.saturating_add(self.ahead));
+        let since = kept.first().map_or(0, |k| self.now.saturating_sub(k.begun) / 10);
+        let recalled = tiers.guide.recall(self.now, taken.saturating_add(self.ahead), &kept);
+        match recalled {
+            Ok(lists) => {
+                tracing::info!(
+                    "homes: a hand-over is known again, over {lists} lists, the last of {since} ms ago"
+                );
+            }
+            Err(why) => tracing::info!("homes: nothing of a hand-over is known from before: {why}"),
+        }
+        self.learn_homes(recalled.is_ok());
     }
 
     pub(super) fn list_tiers(&mut self, members: &[Member], whole: bool) {
         if let Some(tiers) = &mut self.tiers {
             let ours = |m: &&Member| tiers.kinds.contains(&Some(m.kind));
             let parents: Vec<Member> = members.iter().filter(ours).cloned().collect();
-            tell(tiers.guide.listed(self.now, &parents, whole));
+            let moved = tiers.guide.listed(self.now, &parents, whole);
+            tell(moved);
+            self.learn_homes(moved.is_some());
         }
     }
 
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -76,6 +76,7 @@
     heed_signals(in_use.clone()).map_err(|e| format!("signals: {e}"))?;
     let (listen, name) = (config.listen, config.name.clone());
     let known = beside.as_ref().map(Beside::known);
+    let homes = beside.as_ref().and_then(Beside::homes);
     let within = Duration::from_micros(config.told.connect_within * 100);
     let mut clock = Clock::default();
     let served = Arc::new(Served::default());
@@ -92,6 +93,9 @@
     if let Some((fills, purges)) = known {
         driver.reducer.input(clock.now(), Input::Recall(fills, purges));
     }
+    if let Some((taken, kept)) = homes {
+        driver.reducer.input(clock.now(), Input::Homes(taken, kept));
+    }
     let local =
         accept::listen(listen, driver.events.clone()).map_err(|e| format!("key 'listen': {listen}: {e}"))?;
     tracing::info!("{name} listens on {local}");
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -557,7 +557,7 @@
     let mut learned = w.reducer.learned();
     learned.sort_by_key(|l| match l {
         Learned::Fill(f) => f.object,
-        Learned::Purge(_) => 0,
+        Learned::Purge(_) | Learned::Homes(_) => 0,
     });
     assert_eq!(learned, [own(5, 1), own(6, 2)]);
     // A purge of the feed is remembered, too; nothing is kept for nobody.
--- a/crates/hierarchy/src/guide.rs
+++ b/crates/hierarchy/src/guide.rs
@@ -159,6 +159,21 @@
         self.homes.list(now, list, spread)
     }
 
+    /// What is to be known of homes after a restart.
+    pub fn kept(&self) -> Vec<homes::Kept> {
+        self.homes.kept()
+    }
+
+    /// From before the start, once shape and list have been told: how many lists of homes are known now.
+    pub fn recall(
+        &mut self,
+        now: Tenths,
+        taken: Tenths,
+        kept: &[homes::Kept],
+    ) -> Result<usize, homes::NotRecalled> {
+        self.homes.recall(now, taken, kept)
+    }
+
     fn alive(&self, key: u64) -> bool {
         self.known.get(&key).is_some_and(|k| k.listed)
     }
--- a/crates/hierarchy/src/homes.rs
+++ b/crates/hierarchy/src/homes.rs
@@ -13,8 +13,11 @@
 //! that costs the archive is the shield's matter. A second change in the middle begins a hand-over from what
 //! stood then, moved or not; each ends by its own time, and the oldest makes room when there are too many.
 
+use std::fmt;
+
 use arrayvec::ArrayVec;
 use doorgrade::{Tenths, hash};
+use serde::{Deserialize, Serialize};
 
 /// Lists that may be in use at once: the newest, and what it and those before it took over from. With more the
 /// oldest goes, and what only it knew to be held somewhere is fetched anew.
@@ -112,6 +115,15 @@
     }
 }
 
+/// Of a list alone: a front that has just started knows no other.
+fn salt(homes: &[Home]) -> u64 {
+    homes.iter().fold(0u64, |salt, h| salt.rotate_left(5) ^ h.key)
+}
+
+fn same(a: &[Home], b: &[Home]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).all(|(a, b)| (a.key, a.weight) == (b.key, b.weight))
+}
+
 /// When, in parts of the time in which a member grows from part `from` of its capacity to all of it, it has
 /// taken the given share of its objects, if it takes them in proportion to its capacity.
 fn ripened(share: f64, from: f64) -> f64 {
@@ -123,6 +135,44 @@
     ((from * from + 2.0 * grows * share * (from + grows / 2.0)).sqrt() - from) / grows
 }
 
+/// One list as it is written down. Times are whoever's who writes it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    pub begun: Tenths,
+    pub spread: Tenths,
+    /// Key, weight, and the part of its capacity that it began with.
+    pub homes: Vec<(u64, f64, f64)>,
+}
+
+/// Why nothing was made of what was remembered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotRecalled {
+    /// Nothing was handed over, or it is over.
+    Nothing,
+    /// Written so long ago that the old homes have dropped what they held.
+    Old,
+    Future,
+    /// No list that this front could have written.
+    Foreign,
+    /// This front has seen a hand-over itself, or has no list yet.
+    Known,
+}
+
+impl fmt::Display for NotRecalled {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            NotRecalled::Nothing => "no hand-over was under way",
+            NotRecalled::Old => "it was written too long ago",
+            NotRecalled::Future => "it is from the future",
+            NotRecalled::Foreign => "it is no list of homes",
+            NotRecalled::Known => "one has begun since the start",
+        })
+    }
+}
+
+/// Clocks of one machine are set right by less than this.
+const OFF: Tenths = 10_000;
+
 /// Where an object's fill goes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Way {
@@ -156,13 +206,11 @@
         homes.sort_by_key(|h| h.key);
         homes.dedup_by_key(|h| h.key);
         self.tidy(now);
-        let same = |a: &Home, b: &Home| (a.key, a.weight) == (b.key, b.weight);
         let old = self.lists.first().map(|l| &l.homes);
-        if old.is_some_and(|o| o.len() == homes.len() && o.iter().zip(&homes).all(|(a, b)| same(a, b))) {
+        if old.is_some_and(|o| same(o, &homes)) {
             return None;
         }
-        // Of the new list alone: a front that has just started knows no other.
-        let salt = homes.iter().fold(0u64, |salt, h| salt.rotate_left(5) ^ h.key);
+        let salt = salt(&homes);
         let begins = old.is_some_and(|o| !o.is_empty());
         let change = Change {
             moved: old.map_or(0.0, |o| moved(o, &homes)),
@@ -184,6 +232,49 @@
         Some(change)
     }
 
+    /// What is to be known again after a restart, the newest first.
+    pub fn kept(&self) -> Vec<Kept> {
+        let homes = |l: &List| l.homes.iter().map(|h| (h.key, h.weight, h.from)).collect();
+        self.lists.iter().map(|l| Kept { begun: l.begun, spread: l.spread, homes: homes(l) }).collect()
+    }
+
+    /// Known from before the start, written at `taken`: once the first list after it has been told. A hand-over that had
+    /// begun goes on as it would have; where the list has changed while this front was away, one begins from what it knew.
+    /// What it has seen itself stays.
+    pub fn recall(&mut self, now: Tenths, taken: Tenths, kept: &[Kept]) -> Result<usize, NotRecalled> {
+        let [current] = &self.lists[..] else { return Err(NotRecalled::Known) };
+        let Some(newest) = kept.first() else { return Err(NotRecalled::Nothing) };
+        if taken > now + OFF || kept.iter().any(|k| k.begun > now + OFF) {
+            return Err(NotRecalled::Future);
+        }
+        if taken + LINGER * current.spread <= now {
+            return Err(NotRecalled::Old);
+        }
+        let fit = |h: &(u64, f64, f64)| h.1 > 0.0 && h.1.is_finite() && (0.0..=1.0).contains(&h.2);
+        let fits = |k: &Kept| {
+            !k.homes.is_empty() && k.homes.iter().all(fit) && k.homes.is_sorted_by(|a, b| a.0 < b.0)
+        };
+        if kept.len() > MOST_LISTS || !kept.iter().all(fits) || !kept.is_sorted_by(|a, b| a.begun >= b.begun)
+        {
+            return Err(NotRecalled::Foreign);
+        }
+        let list = |k: &Kept| {
+            let homes: Vec<Home> =
+                k.homes.iter().map(|&(key, weight, from)| Home { key, weight, from }).collect();
+            List { salt: salt(&homes), homes, begun: k.begun.min(now), spread: k.spread }
+        };
+        let goes_on = newest.homes.len() == current.homes.len()
+            && newest.homes.iter().zip(&current.homes).all(|(a, b)| (a.0, a.1) == (b.key, b.weight));
+        let mut lists: ArrayVec<List, MOST_LISTS> = ArrayVec::new();
+        if !goes_on {
+            lists.push(current.clone());
+        }
+        lists.extend(kept.iter().map(list).take(MOST_LISTS - lists.len()));
+        self.lists = lists;
+        self.tidy(now);
+        if self.handing_over(now) { Ok(self.lists.len()) } else { Err(NotRecalled::Nothing) }
+    }
+
     /// Drops what came before a hand-over that is over.
     pub fn tidy(&mut self, now: Tenths) {
         if let Some(over) = self.lists.iter().position(|l| l.over(now)) {
--- a/crates/hierarchy/tests/homes.rs
+++ b/crates/hierarchy/tests/homes.rs
@@ -1,6 +1,6 @@
 //! Homes, hand-overs, the archive's account and loops told by headers.
 
-use doorgrade_hierarchy::homes::{Home, Homes, first, least, moved};
+use doorgrade_hierarchy::homes::{Home, Homes, Kept, NotRecalled, first, least, moved};
 use doorgrade_hierarchy::shield::{Came, Shield, Verdict};
 use doorgrade_hierarchy::via::{self, Cut};
 use proptest::prelude::*;
@@ -98,6 +98,81 @@
     assert!(way.clone().count() > 2_800 && way.clone().all(|w| w.holders.is_empty()));
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, rng_seed: RngSeed::Fixed(6), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// One that dies at any time in any hand-overs and reads what it wrote names the same homes as one that lived.
+    #[test]
+    fn a_hand_over_is_known_again_after_a_restart_as_if_there_had_been_none(
+        steps in prop::collection::vec((0..SPREAD, prop::collection::btree_set(0..6u8, 1..6)), 1..8),
+        away in 0..SPREAD,
+    ) {
+        let (mut lived, mut now, mut last) = (Homes::default(), 1_000, Vec::new());
+        for (wait, names) in &steps {
+            now += wait;
+            let names: Vec<String> = names.iter().map(|n| format!("t-{n}")).collect();
+            last = list(&names.iter().map(String::as_str).collect::<Vec<_>>());
+            lived.list(now, last.clone(), SPREAD);
+        }
+        let (taken, kept) = (now, lived.kept());
+        now += away;
+        let mut back = Homes::default();
+        back.list(now, last, SPREAD);
+        let known = back.recall(now, taken, &kept);
+        prop_assert_eq!(known.is_ok(), kept.len() > 1, "{:?}", known);
+        for later in [0, SPREAD / 3, SPREAD, 3 * SPREAD, 25 * SPREAD] {
+            for object in 0..60 {
+                prop_assert_eq!(
+                    back.way(now + later, object, |_| true),
+                    lived.way(now + later, object, |_| true)
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn homes_that_changed_while_a_front_was_away_are_handed_over_from_what_it_knew() {
+    let mut before = Homes::default();
+    before.list(1_000, list(&["a", "b"]), SPREAD);
+    let (taken, kept) = (2_000, before.kept());
+    let now = 5_000;
+    let mut back = Homes::default();
+    back.list(now, list(&["a", "b", "c"]), SPREAD);
+    assert_eq!(back.recall(now, taken, &kept), Ok(2));
+    let moves = |o: &u64| first(&list(&["a", "b", "c"]), *o).unwrap().key == Home::named("c", 1.0).key;
+    let half = (0..200).filter(moves).filter(|&o| {
+        let way = back.way(now + SPREAD / 2, o, |_| true);
+        way.home == Some(Home::named("c", 1.0).key) && way.holders.len() == 1
+    });
+    assert!((15..=50).contains(&half.count()), "some have gone, and their old homes are asked first");
+    assert_eq!(back.recall(now, taken, &kept), Err(NotRecalled::Known), "what it has seen itself stays");
+    // What can't be shown to hold is left out, with the reason.
+    let fresh = |names: &[&str]| {
+        let mut homes = Homes::default();
+        homes.list(now, list(names), SPREAD);
+        homes
+    };
+    let bad = |k: Kept| vec![k];
+    let one = kept[0].clone();
+    for (taken, kept, why) in [
+        (taken, vec![], NotRecalled::Nothing),
+        (taken, kept.clone(), NotRecalled::Nothing),
+        (now + 20_000, kept.clone(), NotRecalled::Future),
+        (taken, bad(Kept { begun: now + 20_000, ..one.clone() }), NotRecalled::Future),
+        (taken, bad(Kept { homes: vec![], ..one.clone() }), NotRecalled::Foreign),
+        (taken, bad(Kept { homes: vec![(1, f64::NAN, 1.0)], ..one.clone() }), NotRecalled::Foreign),
+        (taken, vec![one.clone(); 9], NotRecalled::Foreign),
+    ] {
+        let mut homes = fresh(&["a", "b"]);
+        assert_eq!(homes.recall(now, taken, &kept), Err(why));
+        assert_eq!(homes.way(now, 7, |_| true), fresh(&["a", "b"]).way(now, 7, |_| true));
+    }
+    let mut late = Homes::default();
+    late.list(now + 30 * SPREAD, list(&["a", "b", "c"]), SPREAD);
+    assert_eq!(late.recall(now + 30 * SPREAD, taken, &kept), Err(NotRecalled::Old));
+}
+
 /// Two come, one of them goes and comes back, each in the middle of the hand-over before: the first homes are still
 /// asked for what only they hold. (A list that was dropped too soon cost the archive a burst.)
 #[test]
