What is seen is handed on each quarter second; the lab tells the side thread's share by itself

Need: the cost of memory and neighbours was read off two variants' whole processor time, which differ by chance as much; it stood at 15 to 24% at one write a second.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -212,8 +212,8 @@
 
 /// What was seen is handed on together, so that whoever remembers it is not woken for each answer: so many, or as long.
 /// A snapshot is written a few times a second at the most, and what a crash loses of it is less than between two of them.
-const TOGETHER: usize = 64;
-const HANDED_EACH: Tenths = 1_000;
+const TOGETHER: usize = 256;
+const HANDED_EACH: Tenths = 2_500;
 
 impl Driver {
     fn run(&mut self, clock: &mut Clock, happened: &Receiver<Event>) {
--- a/crates/lab/src/returns.rs
+++ b/crates/lab/src/returns.rs
@@ -75,6 +75,8 @@
 const JUMP_MS: f64 = 4_000.0;
 /// A cache that comes back: what a warm one does in a second, half as much again as it is asked for in calm.
 const WARM: f64 = 1.5 * RATE / CACHES as f64;
+/// The thread that remembers and speaks with neighbours.
+const SIDE: &str = "neighbours";
 /// Dead ones start again after so long.
 const DOWN_MS: f64 = 1_000.0;
 /// Service is full when so long a time has gone by as it did on calm days.
@@ -126,6 +128,8 @@
     recalled: u64,
     /// Processor time of all fronts in the calm, in thousandths of a core, and their memory in MB at its end.
     cpu: f64,
+    /// Of it, that of the threads which remember and speak with neighbours.
+    side: f64,
     memory_mb: f64,
     pages: usize,
     words: usize,
@@ -233,7 +237,7 @@
         if variant.snapshot || variant.neighbours {
             // Without snapshots of its own: each start finds another store, empty.
             text +=
-                &format!("recall {{\n  enabled = true\n  store = \"n{front}.redb\"\n  write_ms = 1000\n}}\n");
+                &format!("recall {{\n  enabled = true\n  store = \"n{front}.redb\"\n  write_ms = 2000\n}}\n");
         }
         text
     }
@@ -288,7 +292,8 @@
         let due = begun + Duration::from_secs_f64(ms / 1e3);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
     };
-    let (mut crashed, mut recalled, mut pages, mut cpu, mut memory_mb) = (0, 0, 0, 0.0, 0.0);
+    let (mut crashed, mut recalled, mut pages) = (0, 0, 0);
+    let (mut cpu, mut side, mut memory_mb) = (0.0, 0.0, 0.0);
     let mut look = |front: &Front| {
         for line in front.lines().iter().filter(|l| l.contains("recall: from ")) {
             let parts =
@@ -302,10 +307,11 @@
         let player = scope.spawn(|| rig::play_at(&choose, &plan, &CLASSES, begun, 96));
         let processes: Vec<u32> = running.iter().flatten().map(Front::process).collect();
         let spent = || processes.iter().map(|&p| rig::cpu_ms(p)).sum::<f64>();
+        let beside = || processes.iter().map(|&p| rig::thread_cpu_ms(p, SIDE)).sum::<f64>();
         at(times.warm * 1e3);
-        let before = spent();
+        let before = (spent(), beside());
         at((times.warm + times.calm) * 1e3);
-        cpu = (spent() - before) / times.calm;
+        (cpu, side) = ((spent() - before.0) / times.calm, (beside() - before.1) / times.calm);
         memory_mb = processes.iter().filter_map(|&p| rig::memory_mb(p).ok()).sum();
         for trouble in script {
             let deaths = std::iter::once(trouble.at).chain(trouble.again.map(|after| trouble.at + after));
@@ -348,6 +354,7 @@
         crashed,
         recalled,
         cpu,
+        side,
         memory_mb,
         pages,
         words: (0..fronts).map(|n| posts.links.sent_by(&format!("n{n}")).datagrams).sum(),
@@ -482,6 +489,7 @@
     figures.ratio(&name("archive_per_s"), calm.archive);
     figures.ratio(&name("archive_peak_ratio_calm"), peak(&o.archive, calm_from, kill, calm.archive));
     figures.ratio(&name("cpu_ms_per_s"), o.cpu);
+    figures.ratio(&name("side_cpu_share"), o.side / f64::max(o.cpu - o.side, 1e-9));
     figures.ratio(&name("memory_mb_each"), o.memory_mb / fronts as f64);
     for t in script.iter().filter(|t| t.dead > 0) {
         let (back, end) = (t.at + t.again.unwrap_or(0.0) + DOWN_MS, t.at + times.back * 1e3);
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -113,6 +113,18 @@
     10.0 * times.filter_map(|t| t.parse::<f64>().ok()).sum::<f64>()
 }
 
+/// The processor time of a process's threads of a name, in milliseconds, to the microsecond.
+pub fn thread_cpu_ms(process: u32, name: &str) -> f64 {
+    let tasks = std::fs::read_dir(format!("/proc/{process}/task")).into_iter().flatten().flatten();
+    let of = |task: std::fs::DirEntry| {
+        let text = |file| std::fs::read_to_string(task.path().join(file)).unwrap_or_default();
+        let named = text("comm").trim() == name;
+        let ns: f64 = text("schedstat").split(' ').next()?.parse().ok()?;
+        named.then_some(ns / 1e6)
+    };
+    tasks.filter_map(of).sum()
+}
+
 /// What a process holds in memory, in MB.
 pub fn memory_mb(process: u32) -> Result<f64, String> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).map_err(|e| e.to_string())?;
