--- a/crates/recall/tests/memory.rs
+++ b/crates/recall/tests/memory.rs
@@ -197,3 +197,31 @@
         }
     }
 }
+
+/// A snapshot as the first version of the program wrote it: part of what stands on disks.
+const FIRST: &str = "01026e319be6c9b1b1d2e4961f80ade204070380f10400c09a0ce0d403320100010001e090e10480ade204020003f0dee10401090180ade204";
+
+#[test]
+fn a_snapshot_of_the_first_format_opens() {
+    let bytes: Vec<u8> =
+        (0..FIRST.len() / 2).map(|n| u8::from_str_radix(&FIRST[2 * n..2 * n + 2], 16).unwrap()).collect();
+    let is: Snapshot = postcard::from_bytes(&bytes).unwrap();
+    let purges =
+        vec![Purge { object: None, group: 3, at: NOW - S }, Purge { object: Some(9), group: 1, at: NOW }];
+    let fills = vec![fill(1, NOW - 2 * S, NOW)];
+    let deployment = rules().deployment();
+    let should = Snapshot {
+        format: 1,
+        front: "n1".into(),
+        deployment,
+        taken: NOW,
+        life: 7,
+        rules: rules(),
+        fills,
+        purges,
+    };
+    assert_eq!(is, should);
+    assert_eq!(is.check("n1", &rules(), NOW), Ok(()));
+    // Cut off anywhere it is no snapshot, and no panic.
+    assert!((0..bytes.len()).all(|n| postcard::from_bytes::<Snapshot>(&bytes[..n]).is_err()));
+}
