--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -98,6 +98,9 @@
         /// Only what is played in virtual time: how the return grows with the number of fronts
         #[arg(long)]
         virtual_only: bool,
+        /// With --virtual-only: runs of each size; 30, or 6 with --quick
+        #[arg(long, requires = "virtual_only")]
+        seeds: Option<u64>,
         /// With --virtual-only: draws its times into this file, as SVG
         #[arg(long, requires = "virtual_only")]
         plot: Option<std::path::PathBuf>,
@@ -155,9 +158,9 @@
             (how.clone(), figures)
         }
         Subject::Fleet { how, front } => (how.clone(), fleet::run(&how, front)),
-        Subject::Return { how, front, fronts, timeline, virtual_only, plot } => {
+        Subject::Return { how, front, fronts, timeline, virtual_only, seeds, plot } => {
             let figures = match virtual_only {
-                true => sizes::run(&how, &fronts, plot.as_deref()),
+                true => sizes::run(&how, &fronts, seeds, plot.as_deref()),
                 false => returns::run(&how, front, &fronts, timeline),
             };
             (how, figures)
--- a/crates/lab/src/sizes.rs
+++ b/crates/lab/src/sizes.rs
@@ -323,11 +323,11 @@
 
 type Line = (f64, Vec<(f64, f64, f64)>);
 
-pub fn run(how: &How, sizes: &[usize], plot: Option<&Path>) -> Result<Figures, String> {
+pub fn run(how: &How, sizes: &[usize], seeds: Option<u64>, plot: Option<&Path>) -> Result<Figures, String> {
     let usual: &[usize] = if how.quick { &[30, 100] } else { &[30, 100, 300, 1_000] };
     let sizes = if sizes.is_empty() { usual } else { sizes };
     let shares: &[f64] = if how.quick { &[0.7] } else { &[0.3, 0.7, 1.0] };
-    let seeds = if how.quick { 6 } else { 30 };
+    let seeds = seeds.unwrap_or(if how.quick { 6 } else { 30 }).max(1);
     let mut figures = Figures::default();
     figures.put("simulated", true);
     figures.put("seeds", seeds);
