Read once more: hostile words to seats are bounded, works wait in the queue once

Change: saturating, bounds on works, answers, lives and spreads; queued once; the decision is in Asking::gives, and the virtual return uses it.

--- a/crates/custody/src/birth.rs
+++ b/crates/custody/src/birth.rs
@@ -71,7 +71,7 @@
         let forgot = found.as_ref().is_none_or(|f| !f.whole).then_some(now + keep);
         let last = found.as_ref().map(|f| f.last);
         let lives = found.map(|f| f.others).unwrap_or_default();
-        let life = last.map_or(life, |last| life.max(last + 1));
+        let life = last.map_or(life, |last| life.max(last.saturating_add(1)));
         Birth { own, roster: roster.to_vec(), life, last, lives, knew: BTreeSet::new(), forgot }
     }
 
@@ -92,6 +92,9 @@
 
     /// Another has begun a life. To be on the disk before the answer is given.
     pub fn heard(&mut self, now: Tenths, from: Front, born: Born) -> Knew {
+        if !self.roster.contains(&from) {
+            return Knew { life: born.life, before: None, whole: false };
+        }
         let known = self.lives.get(&from).copied();
         let before = match known {
             // Asked again: its answer may have been lost.
@@ -119,7 +122,7 @@
         }
         if let Some(later) = unknown.filter(|b| *b > self.life) {
             // Its clock was set back as well: a life that is none to others is begun anew.
-            self.life = later + 1;
+            self.life = later.saturating_add(1);
             return self.knew.clear();
         }
         // What one that has forgotten did not know of, others may have told it.
--- a/crates/custody/src/hands.rs
+++ b/crates/custody/src/hands.rs
@@ -153,6 +153,11 @@
         self.works.len()
     }
 
+    /// Works that wait for others' claims to end.
+    pub fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// When `due` is to be called.
     pub fn next(&self) -> Option<Tenths> {
         self.dues.first().map(|d| d.0)
@@ -289,7 +294,7 @@
 
     fn write(&mut self, now: Tenths, name: Name, then: Then, out: &mut Vec<Do>) {
         if let Some(mine) = self.works.get_mut(&name) {
-            mine.version += 1;
+            mine.version = mine.version.saturating_add(1);
         }
         self.to(now, name, Phase::Writing, then);
         self.due(now, out);
@@ -433,7 +438,7 @@
             out.push(Do::Settled { name, outcome });
         }
         // Whoever comes again here is told for a while; then the seats are asked.
-        let at = mine.until.max(now) + TOLD_FOR;
+        let at = mine.until.max(now).saturating_add(TOLD_FOR);
         self.set_due(name, at);
     }
 
@@ -469,7 +474,6 @@
         let Some(mine) = self.works.get_mut(&name) else { return };
         match mine.phase {
             Phase::Taking => {
-                // A seat that has it as this front's own, under a term of another's: it was taken over.
                 if told.work.print != mine.work.print {
                     let waited = mine.waited;
                     self.drop_own(name, out);
@@ -484,6 +488,7 @@
                 // One has it, the other has not, and the third says nothing: of two works the one that was born
                 // with the lesser number stays.
                 let yields = mine.against.values().any(|t| t.work.born < mine.work.born);
+                // And one that has it as this front's own under a term of another's says that it was taken over.
                 let tied = now >= mine.begun + 4 * AGAIN && yields;
                 if lost || tied || mine.against.values().any(|t| t.work.born == mine.work.born) {
                     self.drop_own(name, out);
--- a/crates/custody/src/hands/time.rs
+++ b/crates/custody/src/hands/time.rs
@@ -27,7 +27,7 @@
             mine.told_late = true;
             out.push(Do::Undecided { name });
         }
-        let over = now >= mine.until + TOLD_FOR;
+        let over = now >= mine.until.saturating_add(TOLD_FOR);
         match mine.phase {
             Phase::Settled => drop(self.forget(name)),
             Phase::Taking if now >= mine.begun + self.patience || late => {
@@ -50,8 +50,9 @@
                 self.set_due(name, at);
             }
             Phase::Waiting => {
+                // Once: it stays in the queue until there is room, or nobody is to be told any more.
+                let at = mine.until.max(now).saturating_add(TOLD_FOR);
                 self.waiting.push_back(name);
-                let at = now + AGAIN;
                 self.set_due(name, at);
             }
             Phase::Taking | Phase::Writing | Phase::Claiming | Phase::Watching => self.say(now, name, out),
@@ -63,7 +64,7 @@
         let Some(mine) = self.works.get_mut(&name) else { return };
         mine.asked_at = now;
         let written = mine.term;
-        mine.term = Term { number: written.number.max(1) + 1, owner: own, life };
+        mine.term = Term { number: written.number.max(1).saturating_add(1), owner: own, life };
         self.to(now, name, Phase::Claiming, Then::Go);
         self.say(now, name, out);
     }
--- a/crates/custody/src/lib.rs
+++ b/crates/custody/src/lib.rs
@@ -99,7 +99,19 @@
     pub outcome: Option<Outcome>,
 }
 
+/// In bytes, of an answer that is kept: what a registration says. A longer one is passed on, and kept as 'may have run'.
+pub const MOST_ANSWER: usize = 16 << 10;
+
 impl Work {
+    /// No more than a front of this program makes of one.
+    pub fn fits(&self) -> bool {
+        let body = match &self.outcome {
+            Some(Outcome::Done(answer)) => answer.body.len(),
+            _ => 0,
+        };
+        self.pushes.len() <= MOST_PUSHES && body <= MOST_ANSWER
+    }
+
     /// A push was meant and is not known to be unrun.
     pub fn may_have_run(&self) -> bool {
         self.pushes.iter().any(|p| !p.unrun)
--- a/crates/custody/src/seat.rs
+++ b/crates/custody/src/seat.rs
@@ -43,11 +43,6 @@
     pub votes: bool,
 }
 
-/// From a told age to when that was.
-fn at(now: Tenths, ago: Tenths) -> Tenths {
-    now.saturating_sub(ago)
-}
-
 impl Seat {
     /// `found`: what its store has. `keep`: for how long a work is known after it was heard of last, longer than any client
     /// waits.
@@ -65,8 +60,12 @@
 
     /// Works whose time is over; to be removed from the store, too.
     pub fn tidy(&mut self, now: Tenths) -> Vec<Name> {
-        let over: Vec<Name> =
-            self.works.iter().filter(|(_, k)| k.at + self.keep <= now).map(|(n, _)| *n).collect();
+        let over: Vec<Name> = self
+            .works
+            .iter()
+            .filter(|(_, k)| k.at.saturating_add(self.keep) <= now)
+            .map(|(n, _)| *n)
+            .collect();
         over.iter().for_each(|name| drop(self.works.remove(name)));
         over
     }
@@ -76,6 +75,14 @@
         if !self.votes && ask != Ask::Look {
             return (Said::Abstains, false);
         }
+        let told = match &ask {
+            Ask::Take { work, .. } | Ask::Write { work, .. } => Some(work),
+            Ask::Claim { told, .. } => Some(&told.work),
+            Ask::Drop { .. } | Ask::Look => None,
+        };
+        if told.is_some_and(|work| !work.fits()) {
+            return (Said::Full, false);
+        }
         let full = self.works.len() >= self.most && !self.works.contains_key(&name);
         let Some(known) = self.works.get_mut(&name) else {
             let (term, version, work, meant_at, left) = match ask {
@@ -84,14 +91,14 @@
                 // It missed the beginning.
                 Ask::Write { term, version, work, left } => (term, version, work, now, left),
                 Ask::Claim { term, told } => {
-                    let meant_at = at(now, told.age);
+                    let meant_at = now.saturating_sub(told.age);
                     let kept = Kept {
                         promised: term,
                         written: told.written,
                         version: told.version,
                         work: told.work.clone(),
                         meant_at,
-                        until: now + told.left,
+                        until: now.saturating_add(told.left),
                         at: now,
                     };
                     self.works.insert(name, kept);
@@ -99,7 +106,7 @@
                 }
                 Ask::Drop { .. } | Ask::Look => return (Said::Nothing, false),
             };
-            let (until, born) = (now + left, work.born);
+            let (until, born) = (now.saturating_add(left), work.born);
             let kept = Kept { promised: term, written: term, version, work, meant_at, until, at: now };
             self.works.insert(name, kept);
             return (Said::Kept { born, term, version }, true);
--- a/crates/custody/tests/world.rs
+++ b/crates/custody/tests/world.rs
@@ -569,6 +569,55 @@
     assert!(w.archive.values().all(|a| a.1.done == 1));
 }
 
+/// Whoever holds a key may say anything: nothing of it panics, fills a seat, or is kept beyond its bound.
+#[test]
+fn absurd_words_are_kept_within_bounds_or_not_at_all() {
+    use doorgrade_custody::{Ask, Push, Term, Told, Work};
+    let most = u64::MAX;
+    let work = |pushes, body| Work {
+        born: 1,
+        print: 1,
+        effect: Effect::Idempotent,
+        pushes: vec![Push { to: 1, unrun: false }; pushes],
+        outcome: Some(Outcome::Done(Answer { status: 200, body: vec![0; body].into() })),
+    };
+    let term = Term { number: u32::MAX, owner: most, life: most };
+    let mut seat = Seat::new(2, KEEP, BTreeMap::new(), true);
+    for bad in [work(9, 0), work(0, (16 << 10) + 1)] {
+        assert_eq!(seat.hear(S, Name(1), Ask::Take { term, work: bad, left: 1 }), (Said::Full, false));
+    }
+    let told = Told { written: term, version: u32::MAX, work: work(1, 0), age: most, left: most };
+    seat.hear(S, Name(1), Ask::Claim { term, told: told.clone() });
+    seat.hear(S, Name(2), Ask::Write { term, version: u32::MAX, work: work(1, 0), left: most });
+    assert_eq!(seat.hear(S, Name(3), Ask::Claim { term, told }).0, Said::Full);
+    let mut hands = Hands::new(front(0), 1, roster(6), PATIENCE);
+    let mut out = Vec::new();
+    hands.down(S, most, seat.works(), &mut out);
+    hands.due(S * 100, &mut out);
+    let mut birth = Birth::new(front(0), &roster(6).fronts(), 1, None, S, KEEP);
+    for n in 0..1_000 {
+        birth.heard(S, 50_000 + n, Born { life: most });
+    }
+    birth.answered(S, KEEP, front(1), Knew { life: 1, before: Some(most), whole: true });
+    assert!(birth.store(S).others.is_empty());
+}
+
+#[test]
+fn works_that_wait_for_their_turn_are_queued_once() {
+    let mut w = World::new(6, 6);
+    w.work = 30 * S;
+    (0..300).for_each(|n| w.ask(0, n, Effect::Idempotent));
+    w.pass(S / 2);
+    w.kill(0);
+    // Nobody answers anybody: claims fill the room that there is, and stay.
+    w.cut = (0..6).flat_map(|a| (0..6).map(move |b| (a, b))).collect();
+    w.down(0);
+    w.pass(3 * S);
+    for one in &w.all[1..] {
+        assert!(one.hands.queued() <= 300, "{} in the queue", one.hands.queued());
+    }
+}
+
 fn random_run(seed: u64) {
     let mut w = World::new(seed, 6);
     w.loss = [0.0, 0.01, 0.2][w.rng.usize(..3)];
--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -251,9 +251,8 @@
     }
 
     pub fn page(&mut self, now: Tenths, to: SocketAddrV4, page: u16) -> Gave {
-        // Where all begin together, those that still have their disks have something for those that have not.
-        let whole = self.asking.as_ref().is_none_or(Asking::gives) || !self.found.0.is_empty();
-        if !whole {
+        let remembers = !self.found.0.is_empty();
+        if self.asking.as_ref().is_some_and(|a| !a.gives(remembers)) {
             return Gave::Nothing;
         }
         self.giving.page(now, clock::unix(), to, &self.memory, page)
--- a/crates/hierarchy/src/homes.rs
+++ b/crates/hierarchy/src/homes.rs
@@ -170,6 +170,8 @@
     }
 }
 
+/// A week: no hand-over is told to take as long.
+const MOST_SPREAD: Tenths = 7 * 24 * 36_000_000;
 /// Clocks of one machine are set right by less than this.
 const OFF: Tenths = 10_000;
 
@@ -247,12 +249,15 @@
         if taken > now + OFF || kept.iter().any(|k| k.begun > now + OFF) {
             return Err(NotRecalled::Future);
         }
-        if taken + LINGER * current.spread <= now {
+        if taken.saturating_add(LINGER * current.spread) <= now {
             return Err(NotRecalled::Old);
         }
         let fit = |h: &(u64, f64, f64)| h.1 > 0.0 && h.1.is_finite() && (0.0..=1.0).contains(&h.2);
         let fits = |k: &Kept| {
-            !k.homes.is_empty() && k.homes.iter().all(fit) && k.homes.is_sorted_by(|a, b| a.0 < b.0)
+            !k.homes.is_empty()
+                && k.spread <= MOST_SPREAD
+                && k.homes.iter().all(fit)
+                && k.homes.is_sorted_by(|a, b| a.0 < b.0)
         };
         if kept.len() > MOST_LISTS || !kept.iter().all(fits) || !kept.is_sorted_by(|a, b| a.begun >= b.begun)
         {
--- a/crates/hierarchy/tests/homes.rs
+++ b/crates/hierarchy/tests/homes.rs
@@ -163,6 +163,7 @@
         (taken, bad(Kept { homes: vec![], ..one.clone() }), NotRecalled::Foreign),
         (taken, bad(Kept { homes: vec![(1, f64::NAN, 1.0)], ..one.clone() }), NotRecalled::Foreign),
         (taken, vec![one.clone(); 9], NotRecalled::Foreign),
+        (taken, bad(Kept { spread: u64::MAX, ..one.clone() }), NotRecalled::Foreign),
     ] {
         let mut homes = fresh(&["a", "b"]);
         assert_eq!(homes.recall(now, taken, &kept), Err(why));
--- a/crates/lab/src/sizes.rs
+++ b/crates/lab/src/sizes.rs
@@ -196,7 +196,7 @@
                 return self.perform(n);
             }
             Said::Ask(page) => {
-                let asks = one.asking.as_ref().is_some_and(|a| !a.done);
+                let asks = one.asking.as_ref().is_some_and(|a| !a.gives(false));
                 let gave =
                     if asks { Gave::Nothing } else { one.giving.page(now, now, at(from), &one.memory, page) };
                 let answer = match gave {
--- a/crates/recall/src/asking.rs
+++ b/crates/recall/src/asking.rs
@@ -91,9 +91,10 @@
         }
     }
 
-    /// Whoever asks itself for the first time has nothing whole to give.
-    pub fn gives(&self) -> bool {
-        self.done || self.again
+    /// Whoever asks itself for the first time has nothing whole to give, unless it remembers something from its own
+    /// snapshot: where all begin together, those that still have their disks give to those that have not.
+    pub fn gives(&self, remembers: bool) -> bool {
+        self.done || self.again || remembers
     }
 
     /// When a page is late. `step` is due then, when one has come, and whenever there may be others to ask.
@@ -144,8 +145,9 @@
         asks
     }
 
-    /// Not one that rests, those last that have said that they have nothing, near ones first, and not one that is asked already if there is another. Which of them is
-    /// each front's own order, so that those who ask together ask different ones.
+    /// Not one that rests; last those that have said that they have nothing; near ones first, and not one that is asked
+    /// already if there is another. Which of them is each front's own order, so that those who ask together ask
+    /// different ones.
     fn whom(&self, now: Tenths, givers: &[Giver]) -> Option<SocketAddrV4> {
         let rests = |g: &&Giver| self.resting.get(&g.at).is_none_or(|&until| until <= now);
         let asked = |g: &Giver| self.out.values().filter(|o| o.0 == g.at).count();
