--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -2,8 +2,6 @@
 
 use std::collections::VecDeque;
 
-use doorgrade::Tenths;
-
 use crate::fastcgi;
 use crate::intake::MOST_OPEN;
 use crate::ring::Ring;
@@ -33,7 +31,6 @@
 /// What an answer says.
 pub struct Reply<'a> {
     pub status: u16,
-    pub stay_away: Tenths,
     pub tag: Option<&'a str>,
     pub same: bool,
     pub body: Vec<u8>,
@@ -41,7 +38,7 @@
 
 impl Reply<'_> {
     pub fn bare(status: u16) -> Self {
-        Reply { status, stay_away: 0, tag: None, same: false, body: Vec::new() }
+        Reply { status, tag: None, same: false, body: Vec::new() }
     }
 }
 
@@ -72,9 +69,6 @@
 
     pub fn put(&mut self, id: u16, reply: Reply<'_>, extra: bool) {
         let mut head = format!("Status: {} {}\r\n", reply.status, reason(reply.status));
-        if reply.stay_away > 0 {
-            head.push_str(&format!("Retry-After: {}\r\n", reply.stay_away.div_ceil(10_000)));
-        }
         if let Some(tag) = reply.tag {
             head.push_str(&format!("X-Etag: {tag}\r\n"));
         }
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -301,8 +301,8 @@
         self.stop_push(access, push, Outcome::Withdrawn);
     }
 
-    fn decline(&mut self, access: AccessId, stay_away: Tenths) {
-        self.answer(access, Reply { stay_away, ..Reply::bare(503) });
+    fn decline(&mut self, access: AccessId) {
+        self.answer(access, Reply::bare(503));
         self.tidy(access);
     }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -57,8 +57,6 @@
     conn_idle: f64,
     connect_timeout: f64,
     max_attempts: usize,
-    max_retry_after: f64,
-    retry_after: bool,
     second_copies: bool,
 }
 
@@ -206,7 +204,6 @@
             cancels: boot.limits.cancel,
             second_copies: boot.limits.second_copies,
         },
-        advice: if boot.limits.retry_after { tenths(boot.limits.max_retry_after) } else { 0 },
         max_pushes: boot.limits.max_attempts,
         weights: matches!(boot.weight_kind.as_str(), "nominal" | "rough"),
         list_on_request: boot.registry_mode == "subscribe",
--- a/src/control.rs
+++ b/src/control.rs
@@ -109,7 +109,6 @@
     kinds: [Option<usize>; 2],
     notes: Notes,
     may: Powers,
-    advice: Tenths,
     max_pushes: usize,
     weights: bool,
     follow: bool,
@@ -157,7 +156,6 @@
             kinds: [s.parent_kind, s.origin_kind],
             notes: s.notes,
             may: s.may,
-            advice: s.advice,
             max_pushes: s.max_pushes.min(MOST_PUSHES),
             weights: s.weights,
             follow: s.list_on_request,
@@ -618,8 +616,9 @@
             _ => h.sent.iter().all(|s| s.ended.is_some_and(Outcome::proves_unrun)),
         };
         if harmless {
-            // Clients that heed it come back spread over the second half of what they would wait at most.
-            out.decline(h.access.id, self.advice / 2 + self.rng.u64(0..=self.advice / 2));
+            // No advice to stay away goes with it, though clients might heed it: their own waits spread them,
+            // and whoever comes back later finds less of the soft limit left.
+            out.decline(h.access.id);
         } else {
             out.give_up(h.access.id);
         }
--- a/src/face.rs
+++ b/src/face.rs
@@ -61,8 +61,6 @@
     pub origin_kind: Option<usize>,
     pub notes: Notes,
     pub may: Powers,
-    /// Longest advice to stay away that is passed on; 0 where none is.
-    pub advice: Tenths,
     pub max_pushes: usize,
     /// Members' weights can be compared with one another.
     pub weights: bool,
@@ -220,7 +218,7 @@
 
     fn push(&mut self, push: &Push<'_>);
     fn withdraw(&mut self, access: AccessId, push: usize);
-    fn decline(&mut self, access: AccessId, stay_away: Tenths);
+    fn decline(&mut self, access: AccessId);
     fn give_up(&mut self, access: AccessId);
     fn wake(&mut self, at: Tenths, key: u64);
     fn follow_list(&mut self);
