--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod fading;
 pub mod hash;
 mod oldest;
+mod state;
 
 pub use control::Front;
 pub use face::*;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -567,6 +567,34 @@
     assert!(in_time > 940, "{in_time} of 1000 answered in four fifths of the soft limit");
 }
 
+/// One fill in eight hangs until its time is up, though its cache gives others, a few of them late: what hangs
+/// must not hold the room of what could be filled.
+#[test]
+fn fills_that_hang_do_not_hold_room_until_their_time_is_up() {
+    let (mut world, mut front) = World::new(
+        Settings { crew: 4, may: Powers { second_copies: false, ..settings().may }, ..settings() },
+        &zone(3, 2),
+    );
+    let mut handled = 0;
+    for id in 0..3_000u64 {
+        world.access(&mut front, id, 1, id);
+        world.pass(&mut front, 50);
+        for at in id.saturating_sub(200)..=id {
+            let Some(t) = world.told.get(&at).filter(|t| t.finals == 0) else { continue };
+            let Some(push) = t.pushes.iter().position(|p| p.ended.is_none()) else { continue };
+            let p = &t.pushes[push];
+            let takes = if at % 40 == 1 { 4_400 } else { 2_000 };
+            if p.source == p.cache {
+                world.end(&mut front, at, push, Outcome::Miss, Note::Untold);
+            } else if at % 8 > 0 && world.now >= p.at + takes {
+                handled += u32::from(at >= 1_000);
+                world.end(&mut front, at, push, Outcome::Handled, Note::Filled);
+            }
+        }
+    }
+    assert!(handled > 1_620, "{handled} of 2000 handled");
+}
+
 /// Another front of the crew stops, and its clients come: nothing is late, so next to nothing is declined.
 #[test]
 fn limits_follow_a_surge_that_makes_nothing_late() {
