--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod cold;
 mod config;
 mod fleet;
 mod log;
@@ -113,6 +114,11 @@
         #[arg(long)]
         front: Option<std::path::PathBuf>,
     },
+    /// What all fronts of a zone together send a cache that has just started, against what fells it, in virtual time
+    Cold {
+        #[command(flatten)]
+        how: How,
+    },
     /// What a line of the log costs at a level that is off, and on
     Log {
         #[command(flatten)]
@@ -166,6 +172,7 @@
             (how, figures)
         }
         Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
+        Subject::Cold { how } => (how.clone(), Ok(cold::run(&how))),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
     match figures {
