--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -312,6 +312,25 @@
     }
 }
 
+#[test]
+fn a_repeat_whose_connection_comes_up_too_late_is_never_begun() {
+    for (late, pushes) in [(100, 2), (300, 1)] {
+        let mut w = World::new(1, 128);
+        let client = w.client();
+        w.ask(client, 1, 1, 3, 5, 2_500);
+        w.connecting().into_iter().for_each(|conn| w.connected(conn));
+        w.pass(800 * MS);
+        let conn = w.working()[0];
+        w.end(conn);
+        assert!(!w.connecting().is_empty(), "a repeat waits for its connection");
+        // Votes are known again for a second.
+        w.pass(late * MS);
+        w.connecting().into_iter().for_each(|conn| w.connected(conn));
+        assert_eq!(w.pushes_of(1), pushes);
+        assert_eq!(w.answer_of(1).map(|a| a.status), (pushes == 1).then_some(500));
+    }
+}
+
 #[test]
 fn a_new_cache_at_an_old_address_starts_afresh() {
     let mut w = World::new(1, 128);
