--- a/crates/cli/tests/helper/mod.rs
+++ b/crates/cli/tests/helper/mod.rs
@@ -25,6 +25,11 @@
 }
 
 pub fn start(config: &str, settings: Option<&Path>) -> Front {
+    start_with(config, settings, None)
+}
+
+/// With so many descriptors as the machine's limit.
+pub fn start_with(config: &str, settings: Option<&Path>, descriptors: Option<usize>) -> Front {
     let path = std::env::temp_dir().join(format!(
         "doorgrade-{}-{:?}.json",
         std::process::id(),
@@ -32,7 +37,16 @@
     ));
     std::fs::write(&path, config).unwrap();
     let settings = settings.unwrap_or(Path::new("/dev/null"));
-    let mut process = Command::new(env!("CARGO_BIN_EXE_doorgrade"))
+    let program = env!("CARGO_BIN_EXE_doorgrade");
+    let mut command = match descriptors {
+        None => Command::new(program),
+        Some(most) => {
+            let mut shell = Command::new("sh");
+            shell.args(["-c", &format!("ulimit -n {most}; exec {program}")]);
+            shell
+        }
+    };
+    let mut process = command
         .env("PROXY_CONFIG", &path)
         .env("DOORGRADE_SETTINGS", settings)
         .env_remove("PROXY_NAME")
--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -1,47 +1,132 @@
-//! Takes in clients' connections.
+//! Takes in clients' connections, so many at once and no more.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 
+use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpListener;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use crate::conn::{self, ConnId, Event};
 
 /// Accepted connections are numbered from here on, those asked for from 0.
 pub const FIRST: ConnId = 1 << 63;
 
-/// The front that had the address before may still be on its way out: a short wait.
+/// The front that had the address before may still be on its way out: it ends within the longest hard limit (3 s at the
+/// most) and 0.7 s; a supervisor may take as long again to end it. Under the 30 s in which a front is to be ready.
+const TRIES: usize = 200;
+const BETWEEN: Duration = Duration::from_millis(100);
+
 fn bind(on: SocketAddr) -> std::io::Result<TcpListener> {
-    for _ in 0..20 {
+    for tried in 0..TRIES {
         match TcpListener::bind(on) {
-            Err(e) if e.kind() == ErrorKind::AddrInUse => std::thread::sleep(Duration::from_millis(100)),
+            Err(e) if e.kind() == ErrorKind::AddrInUse => {
+                if tried == 0 {
+                    tracing::warn!("{on} is in use: waits for it");
+                }
+                std::thread::sleep(BETWEEN);
+            }
             bound => return bound,
         }
     }
     TcpListener::bind(on)
 }
 
-/// Listens, and reports each connection as it comes up, for as long as the program runs.
-pub fn listen(on: SocketAddr, events: Sender<Event>) -> std::io::Result<SocketAddr> {
+/// Clients' connections that hold a descriptor, counted where it is taken and given back.
+struct Held(Arc<AtomicUsize>);
+
+impl Held {
+    fn new(open: &Arc<AtomicUsize>) -> Held {
+        open.fetch_add(1, Ordering::SeqCst);
+        Held(open.clone())
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// What listens, for whoever steers it.
+pub struct Door {
+    pub local: SocketAddr,
+    waker: WaitIoWaker,
+    most: Arc<AtomicUsize>,
+    shut: Arc<AtomicBool>,
+}
+
+impl Door {
+    /// How many clients' connections there may be at once. More wait in the system's queue, until the reducer has closed
+    /// one: what the feed, the caches and the ending need is never taken by clients.
+    pub fn set_most(&self, most: usize) {
+        self.most.store(most, Ordering::SeqCst);
+    }
+
+    /// No more are taken in: whoever comes is refused, and another process may have the address. Told by
+    /// [`Event::Deaf`] once all that were accepted have been told.
+    pub fn shut(&self) {
+        if !self.shut.swap(true, Ordering::SeqCst) {
+            self.waker.wakeup();
+        }
+    }
+}
+
+/// Whether a connection waits to be accepted: `accept` itself could be ended by nothing but a connection.
+fn comes(listener: &TcpListener) -> bool {
+    let mut asked = [PollFd::new(listener.inner(), PollFlags::IN)];
+    poll(&mut asked, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|ready| ready > 0)
+}
+
+/// Listens, and reports each connection as it comes up, until the door is shut.
+pub fn listen(on: SocketAddr, most: usize, events: Sender<Event>) -> std::io::Result<Door> {
     let listener = bind(on)?;
     let local = listener.local_addr()?;
+    let (most, shut) = (Arc::new(AtomicUsize::new(most)), Arc::new(AtomicBool::new(false)));
+    let door = Door { local, waker: listener.waker(), most: most.clone(), shut: shut.clone() };
+    let open = Arc::new(AtomicUsize::new(0));
     conn::spawn(move || {
         let mut next = FIRST;
         loop {
+            let full = open.load(Ordering::SeqCst) >= most.load(Ordering::SeqCst);
+            let comes = comes(&listener);
+            if shut.load(Ordering::SeqCst) && (full || !comes) {
+                break;
+            } else if comes && full {
+                may::coroutine::sleep(Duration::from_millis(2));
+                continue;
+            } else if !comes {
+                listener.wait_io();
+                continue;
+            }
             match listener.accept() {
                 Ok((stream, _)) => {
-                    let (conn, events) = (next, events.clone());
+                    let (conn, events, held) = (next, events.clone(), Held::new(&open));
                     next += 1;
+                    let (port, open) = conn::open(stream);
+                    // From here, not from its coroutine: nothing comes after the word that the door is shut.
+                    let _ = events.send(Event::Accepted(conn, port));
                     conn::spawn(move || {
-                        conn::serve(conn, stream, &events, |port| Event::Accepted(conn, port));
+                        open.serve(conn, &events);
+                        drop(held);
                     });
                 }
-                // A client that is gone again, or no descriptor left: others close soon.
-                Err(_) => may::coroutine::sleep(Duration::from_millis(5)),
+                Err(e) => {
+                    let means = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
+                    if e.raw_os_error().is_some_and(|e| means.contains(&e)) {
+                        let _ = events.send(Event::NoMeans);
+                    }
+                    // Else a client that is gone again.
+                    may::coroutine::sleep(Duration::from_millis(5));
+                }
             }
         }
+        drop(listener);
+        let _ = events.send(Event::Deaf);
     });
-    Ok(local)
+    Ok(door)
 }
--- a/crates/front/src/bounds.rs
+++ b/crates/front/src/bounds.rs
@@ -43,6 +43,11 @@
         Bounds { clients, lines, bodies }
     }
 
+    /// How many clients' connections may hold a descriptor at once: newcomers show the reducer that one has to go.
+    pub fn accepted(&self) -> usize {
+        self.clients + 2
+    }
+
     /// How many connections to caches there may be while clients have so many. Half of what clients do not
     /// use is lent: at tight limits it is worth more to accesses in hand than to clients that seldom come.
     pub fn lines_with(&self, clients: usize) -> usize {
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -66,6 +66,8 @@
     pub files: Files,
     /// The shape in them came with a version.
     pub whole: bool,
+    /// The descriptors that the machine lets this process have.
+    pub machine: usize,
 }
 
 const LEAST_SOCKETS: usize = version::LEAST_SOCKETS as usize;
@@ -148,9 +150,25 @@
             log: file.log.map_or(Ok(LevelFilter::INFO), |level| at("log", level.parse()))?,
             files: Files::default(),
             whole: false,
+            machine: MOST,
         })
     }
 
+    /// On a machine that lets this process have so many descriptors, whatever it is told. They are not raised: whoever
+    /// set them meant it.
+    pub fn on(mut self, machine: Option<u64>) -> Result<Config, String> {
+        self.machine = machine.map_or(MOST, |most| usize::try_from(most).unwrap_or(MOST));
+        if self.machine < LEAST_SOCKETS {
+            return Err(format!(
+                "the machine lets this process have {} descriptors, and it needs {LEAST_SOCKETS} at least: raise its limit \
+                 of open files (ulimit -n, LimitNOFILE)",
+                self.machine
+            ));
+        }
+        self.limits.sockets = self.limits.sockets.min(self.machine);
+        Ok(self)
+    }
+
     /// With what the operators' own files say, which goes before what the platform's does.
     pub fn with(mut self, files: Files) -> Config {
         self.log = files.settings.log.level.map_or(self.log, filter);
@@ -164,7 +182,7 @@
         let most = |told: Option<u64>, own: usize| told.map_or(own, |told| told as usize);
         self.limits = Limits {
             memory_mb: most(version.memory_mb, self.limits.memory_mb),
-            sockets: most(version.sockets, self.limits.sockets),
+            sockets: most(version.sockets, self.limits.sockets).min(self.machine),
         };
         self.feed = version.feed.unwrap_or(self.feed);
         if let Some(shape) = &version.shape {
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -1,7 +1,7 @@
 //! The coroutine of one connection. It reads and writes as it is told, and reports; it decides nothing.
 
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::mpsc::{Receiver, Sender, SyncSender, TryRecvError, sync_channel};
 use std::time::Duration;
 
@@ -27,6 +27,10 @@
     Wrote { conn: ConnId, ring: Ring, failed: bool },
     /// The descriptor is given back.
     Closed(ConnId),
+    /// Clients' connections can't be accepted: no descriptor, or no memory, is left.
+    NoMeans,
+    /// Nothing is listened to any more; all connections that came before have been told.
+    Deaf,
     /// The operators' word to stop.
     Stop,
     /// Their word that clients are to go elsewhere, or need not any more.
@@ -44,6 +48,10 @@
     Write(Ring),
     /// To be written only while nothing has come and the other side has not ended it.
     Begin(Ring),
+    /// To be ended in order, unless something has come that was not told yet; or whatever has come.
+    Finish {
+        deaf: bool,
+    },
 }
 
 /// The other end of a connection's coroutine; dropped, it closes the connection.
@@ -65,8 +73,15 @@
         self.ask(Job::Begin(ring));
     }
 
-    /// There is one ring a direction, so two jobs at the most; one whose coroutine has ended is reported
-    /// closed.
+    /// Half-close: the end of writing is sent, then what still comes is read and dropped until the other side ends, or
+    /// this port is dropped. A plain close over unread bytes would reset the connection, and take with it answers that
+    /// the other side has not read yet. Only while nothing is being written. Where something has come, that is told
+    /// instead, and nothing is ended, unless nobody wants to hear it.
+    pub fn finish(&self, deaf: bool) {
+        self.ask(Job::Finish { deaf });
+    }
+
+    /// There is one ring a direction, and one end; one whose coroutine has ended is reported closed.
     fn ask(&self, job: Job) {
         if let Some(jobs) = &self.jobs {
             let _ = jobs.try_send(job);
@@ -90,20 +105,36 @@
 
 pub fn connect(conn: ConnId, to: SocketAddr, within: Duration, events: Sender<Event>) {
     spawn(move || match TcpStream::connect_timeout(&to, within) {
-        Ok(stream) => serve(conn, stream, &events, |port| Event::Connected(conn, Ok(port))),
+        Ok(stream) => {
+            let (port, line) = open(stream);
+            report(&events, Event::Connected(conn, Ok(port)));
+            line.serve(conn, &events);
+        }
         Err(error) => report(&events, Event::Connected(conn, Err(error))),
     });
 }
 
-/// Runs a connection until its port is dropped.
-pub fn serve(conn: ConnId, stream: TcpStream, events: &Sender<Event>, up: impl FnOnce(Port) -> Event) {
+/// A connection that is up, and what its port asks for.
+pub struct Open {
+    stream: TcpStream,
+    asked: Receiver<Job>,
+}
+
+pub fn open(stream: TcpStream) -> (Port, Open) {
     // Answers are written whole; holding back a last small segment would only delay them.
     let _ = stream.set_nodelay(true);
-    let (jobs, asked) = sync_channel(2);
-    report(events, up(Port { jobs: Some(jobs), waker: stream.waker() }));
-    pump(conn, &stream, &asked, events);
-    drop(stream);
-    report(events, Event::Closed(conn));
+    let (jobs, asked) = sync_channel(4);
+    (Port { jobs: Some(jobs), waker: stream.waker() }, Open { stream, asked })
+}
+
+impl Open {
+    /// Runs the connection until its port is dropped, or it was ended in order; in a coroutine.
+    pub fn serve(self, conn: ConnId, events: &Sender<Event>) {
+        let Open { stream, asked } = self;
+        pump(conn, &stream, &asked, events);
+        drop(stream);
+        report(events, Event::Closed(conn));
+    }
 }
 
 /// Fails only when the program is on its way out.
@@ -112,13 +143,14 @@
 }
 
 fn pump(conn: ConnId, stream: &TcpStream, asked: &Receiver<Job>, events: &Sender<Event>) {
-    let (mut reading, mut writing, mut beginning) = (None, None, false);
+    let (mut reading, mut writing, mut beginning, mut finishing) = (None, None, false, None);
     loop {
         loop {
             match asked.try_recv() {
                 Ok(Job::Read(ring)) => reading = Some(ring),
                 Ok(Job::Write(ring)) => writing = Some(ring),
                 Ok(Job::Begin(ring)) => (writing, beginning) = (Some(ring), true),
+                Ok(Job::Finish { deaf }) => finishing = Some(deaf),
                 Err(TryRecvError::Empty) => break,
                 Err(TryRecvError::Disconnected) => return,
             }
@@ -153,6 +185,33 @@
                 reading = Some(ring);
             }
         }
+        // With its ring on the way to the reducer, something has come: whoever asked will hear of it, and ask again.
+        if finishing.take().is_some_and(|deaf: bool| deaf || reading.is_some()) && writing.is_none() {
+            return finish(stream, asked);
+        }
+        stream.wait_io();
+    }
+}
+
+fn finish(stream: &TcpStream, asked: &Receiver<Job>) {
+    if stream.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let mut dropped = Ring::new(512);
+    loop {
+        // Its port is dropped when its time is up; jobs are no longer done.
+        while let Ok(_late) = asked.try_recv() {}
+        if matches!(asked.try_recv(), Err(TryRecvError::Disconnected)) {
+            return;
+        }
+        loop {
+            dropped.clear();
+            match read(stream, &mut dropped) {
+                Ok(()) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => return,
+            }
+        }
         stream.wait_io();
     }
 }
--- a/crates/front/src/phase.rs
+++ b/crates/front/src/phase.rs
@@ -12,7 +12,7 @@
         take_until: Tenths,
         end_by: Tenths,
     },
-    /// Nothing is taken any more; answers are still being written.
+    /// Nothing is open any more; answers are still being written, and clients' connections ended in order.
     Closing {
         end_by: Tenths,
     },
@@ -51,22 +51,28 @@
         Some([take_until.min(end_by), end_by])
     }
 
-    /// Moves on as time and open accesses allow.
-    pub fn advance(&mut self, now: Tenths, open: bool, unwritten: bool) {
+    /// Moves on as time and open accesses allow. `connected`: clients' connections are not all ended yet, or more
+    /// may come.
+    pub fn advance(&mut self, now: Tenths, open: bool, connected: bool) {
         match self.0 {
             State::Leaving { take_until, end_by } if now >= take_until && (!open || now >= end_by) => {
                 self.0 = State::Closing { end_by };
-                self.advance(now, open, unwritten);
+                self.advance(now, open, connected);
             }
-            State::Closing { end_by } if !unwritten || now >= end_by + Self::GRACE / 2 => {
+            State::Closing { end_by } if !connected || now >= end_by + Self::GRACE / 2 => {
                 self.0 = State::Gone
             }
             _ => {}
         }
     }
 
-    pub fn takes(&self) -> bool {
-        matches!(self.0, State::Serving | State::Leaving { .. })
+    /// What comes whole from then on is declined, and clients' connections are ended as they come to rest.
+    pub fn takes(&self, now: Tenths) -> bool {
+        match self.0 {
+            State::Serving => true,
+            State::Leaving { take_until, .. } => now < take_until,
+            _ => false,
+        }
     }
 
     pub fn serving(&self) -> bool {
--- a/crates/front/src/push.rs
+++ b/crates/front/src/push.rs
@@ -54,6 +54,8 @@
 /// A connection to a cache.
 pub struct Line {
     pub cache: u32,
+    /// Where that stood when the connection was asked for: it is of no use for one that has come in its place.
+    pub place: Place,
     pub state: State,
     /// The push it carries, or is made for.
     pub carries: Option<(AccessId, usize)>,
@@ -62,6 +64,8 @@
     pub out: Option<Ring>,
     request: Vec<u8>,
     sent: usize,
+    /// How much the coroutine was handed of the request at first.
+    first: usize,
     /// Nothing of the request is known to be written yet.
     pub beginning: bool,
     /// It has carried a push before.
@@ -83,15 +87,17 @@
 }
 
 impl Line {
-    pub fn new(cache: u32, carries: (AccessId, usize), now: Tenths) -> Self {
+    pub fn new(cache: u32, place: Place, carries: (AccessId, usize), now: Tenths) -> Self {
         Line {
             cache,
+            place,
             state: State::Connecting,
             carries: Some(carries),
             since: now,
             out: None,
             request: Vec::new(),
             sent: 0,
+            first: 0,
             beginning: false,
             kept: false,
             had_tag: false,
@@ -113,15 +119,18 @@
         }
         let mut ring = self.out.take()?;
         self.sent += ring.put(&self.request[self.sent..]);
+        self.first = if self.beginning { ring.len() } else { 0 };
         if self.sent == self.request.len() {
             (self.request, self.sent) = (Vec::new(), 0);
         }
         Some(ring)
     }
 
-    /// The request, where writing has failed before any of it went out: it can't have been read.
+    /// The request, where writing has failed before any of it went out: it can't have been read. Where a part went out
+    /// before the connection was lost, it may have been.
     pub fn unwritten(&mut self, ring: &mut Ring) -> Option<Vec<u8>> {
-        self.beginning.then(|| [ring.whole(), &self.request[self.sent..]].concat())
+        let none = self.beginning && ring.len() == self.first;
+        none.then(|| [ring.whole(), self.request.get(self.sent..).unwrap_or_default()].concat())
     }
 
     /// Room that was reserved for the body.
@@ -183,35 +192,45 @@
 }
 
 /// A cache, parent or origin as it is listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
     pub at: SocketAddr,
     pub started: Option<Tenths>,
 }
 
-/// Idle connections, by cache id; the one used last is used first.
+/// Idle connections, by cache id; of those that have rested the one used last is used first.
 #[derive(Default)]
 pub struct Pools {
-    idle: FxHashMap<u32, Vec<ConnId>>,
+    idle: FxHashMap<u32, Vec<(ConnId, Tenths)>>,
 }
 
 impl Pools {
-    pub fn put(&mut self, cache: u32, conn: ConnId) {
-        self.idle.entry(cache).or_default().push(conn);
+    /// An answer names no request. A cache that says one twice says it again within some milliseconds (protocol page):
+    /// what comes on a connection at rest breaks it, but behind a new request it would be taken for its answer. Two
+    /// clock ticks of an ordinary kernel and some more; at a hundred requests a second to one cache it takes two further
+    /// connections.
+    pub const REST: Tenths = 200;
+
+    pub fn put(&mut self, cache: u32, conn: ConnId, now: Tenths) {
+        self.idle.entry(cache).or_default().push((conn, now));
     }
 
-    pub fn get(&mut self, cache: u32) -> Option<ConnId> {
-        self.idle.get_mut(&cache)?.pop()
+    /// One that has rested; where no other can be made, any.
+    pub fn get(&mut self, cache: u32, now: Tenths, any: bool) -> Option<ConnId> {
+        let conns = self.idle.get_mut(&cache)?;
+        let place = conns.iter().rposition(|&(_, since)| any || since + Self::REST <= now)?;
+        Some(conns.remove(place).0)
     }
 
     pub fn remove(&mut self, cache: u32, conn: ConnId) {
         if let Some(conns) = self.idle.get_mut(&cache) {
-            conns.retain(|&c| c != conn);
+            conns.retain(|c| c.0 != conn);
         }
     }
 
     /// All of one cache, which is gone or has started anew.
-    pub fn drop_all(&mut self, cache: u32) -> Vec<ConnId> {
-        self.idle.remove(&cache).unwrap_or_default()
+    pub fn drop_all(&mut self, cache: u32) -> impl Iterator<Item = ConnId> + use<> {
+        self.idle.remove(&cache).unwrap_or_default().into_iter().map(|c| c.0)
     }
 }
 
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -53,6 +53,10 @@
         failed: bool,
     },
     Closed(ConnId),
+    /// Clients' connections can't be accepted for want of descriptors or memory.
+    NoMeans,
+    /// No client's connection comes any more.
+    Deaf,
     /// Time has passed.
     Tick,
     Stop,
@@ -81,7 +85,12 @@
     Write(ConnId, Ring),
     /// The beginning of a request on a connection that has carried others: written only if it is still good.
     Begin(ConnId, Ring),
+    /// A client's connection is to be ended in order; unless something has come that was not told yet, where the last
+    /// is false.
+    Finish(ConnId, bool),
     Close(ConnId),
+    /// Nobody is to be let in any more.
+    ShutDoor,
     Exit,
 }
 
@@ -94,6 +103,8 @@
     FeedConnect,
     /// Once in a while: silence of the feed, idle connections, clients that do not read.
     Sweep,
+    /// The other side has not ended a connection that was to be ended in order.
+    Finished(ConnId),
     Phase,
 }
 
@@ -108,6 +119,16 @@
 /// Whoever has not sent a whole request in this time never will. A client is owed an answer or a close within
 /// 3 s of connecting; two sweeps and some less.
 const UNFINISHED: Tenths = 24_000;
+/// How long the other side may take to end a connection that was ended here: some round trips to a client, whose
+/// requests that cross the end come again within 50 ms.
+const FINISH: Tenths = 2_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Door {
+    Open,
+    Closing,
+    Shut,
+}
 
 struct Taken {
     client: ConnId,
@@ -162,6 +183,8 @@
     feed_at: SocketAddr,
     now: Tenths,
     phase: Phase,
+    /// Clients' connections come, may still come though nobody is to be let in, or come no more.
+    door: Door,
     /// `/check` says that it is not ready, though it serves: operators want clients to go elsewhere.
     drains: bool,
     timers: Timers<Timer>,
@@ -216,6 +239,7 @@
                 feed_at: feed,
                 now,
                 phase: Phase::new(),
+                door: Door::Open,
                 drains: false,
                 timers: Timers::default(),
                 effects: Vec::new(),
@@ -271,6 +295,11 @@
         self.work.learned.as_ref().map_or(0, Vec::len)
     }
 
+    /// How many clients' connections may be let in.
+    pub fn clients(&self) -> usize {
+        self.work.bounds.accepted()
+    }
+
     pub fn served(&self) -> Served {
         self.work.served
     }
@@ -312,7 +341,9 @@
                 self.client_wrote(conn, ring, failed);
             }
             Input::Wrote { conn, ring, failed } => self.work.line_wrote(conn, ring, failed),
-            Input::Closed(conn) => self.work.closed(conn),
+            Input::Closed(conn) => self.closed(conn),
+            Input::NoMeans => self.work.make_room(),
+            Input::Deaf => self.work.door = Door::Shut,
             Input::Tick => {}
             Input::Reload(renewal) => self.work.reload(&renewal),
             Input::Recall(fills, purges) => self.recall(&fills, &purges),
@@ -330,6 +361,9 @@
                 for at in phase.leave(*now, *longest).into_iter().flatten() {
                     timers.set(at, Timer::Phase);
                 }
+                if let Some(at) = phase.end_by() {
+                    self.front.end_by(at);
+                }
                 tracing::info!("told to stop");
             }
         }
@@ -347,6 +381,12 @@
             Timer::PushOver(access, push) => self.work.stop_push(access, push, Outcome::TimedOut),
             Timer::FeedConnect => self.work.connect_feed(),
             Timer::Sweep => self.sweep(),
+            Timer::Finished(conn) => {
+                let due = |c: &Client| c.finishing.is_some_and(|since| since + FINISH <= self.work.now);
+                if self.work.clients.get(&conn).is_some_and(due) {
+                    self.drop_client(conn);
+                }
+            }
             Timer::Phase => {
                 // Before the hard stop: every open access is ended now.
                 if self.work.phase.end_by().is_some_and(|at| at <= self.work.now) {
@@ -386,14 +426,32 @@
         }
     }
 
+    fn closed(&mut self, conn: ConnId) {
+        // One that was ended in order is closed when the other side has ended it, too.
+        if self.work.clients.contains_key(&conn) {
+            self.drop_client(conn);
+        }
+        self.work.closing.remove(&conn);
+    }
+
     fn advance(&mut self) {
         let work = &mut self.work;
         if work.phase.serving() {
             return;
         }
+        if !work.phase.takes(work.now) {
+            if work.door == Door::Open {
+                work.door = Door::Closing;
+                work.effects.push(Effect::ShutDoor);
+            }
+            // Those that rest until the front ends them, too. Half a request may still become a whole one.
+            let rests = |c: &Client| c.owed_nothing() && !c.intake.unfinished();
+            let rest: Vec<_> = work.clients.iter().filter(|(_, c)| rests(c)).map(|(&conn, _)| conn).collect();
+            rest.into_iter().for_each(|conn| work.finish(conn));
+        }
         let open = work.accesses.values().any(|t| !t.done);
-        let unwritten = work.clients.values().any(|c| !c.outbox.is_empty() || c.out.is_none());
-        work.phase.advance(work.now, open, unwritten);
+        let connected = !work.clients.is_empty() || work.door != Door::Shut;
+        work.phase.advance(work.now, open, connected);
         if work.phase.gone() {
             work.effects.push(Effect::Exit);
         }
@@ -405,7 +463,7 @@
         let now = self.work.now;
         match event {
             feed::Event::List { whole, members } => {
-                self.work.list(whole, &members);
+                let anew = self.work.list(whole, &members);
                 let moved = |m: Member| Member { started: m.started.map(|t| t + self.work.ahead), ..m };
                 let members: Vec<Member> = members.into_iter().map(|l| moved(l.member)).collect();
                 self.work.list_tiers(&members, whole);
@@ -415,7 +473,9 @@
                 let told: FxHashSet<_> = members.iter().map(|m| push::number(&m.id)).collect();
                 let leaves =
                     |n: &Option<u32>| n.is_some() && !stay.contains(n) && (whole || told.contains(n));
-                self.work.recall(|_, sent| sent.names.iter().any(leaves));
+                // What was meant for one that has started anew since would come on top of its budget.
+                let anew = |n: &Option<u32>| n.is_some_and(|n| anew.contains(&n));
+                self.work.recall(|_, sent| sent.names.iter().any(|n| leaves(n) || anew(n)));
             }
             feed::Event::Purge { object, group, at } => {
                 if let Some(seen) = &mut self.work.learned {
@@ -490,7 +550,11 @@
             self.work.complain(
                 "a client is silent, reads nothing, or never ends its request: its connection is closed",
             );
-            self.drop_client(conn);
+            if self.work.clients.get(&conn).is_some_and(unread) {
+                self.drop_client(conn);
+            } else {
+                self.work.finish(conn);
+            }
         }
         self.work.unpark();
         if now >= self.work.told_at + TOLD {
@@ -531,10 +595,6 @@
         self.effects.push(Effect::Close(conn));
     }
 
-    fn closed(&mut self, conn: ConnId) {
-        self.closing.remove(&conn);
-    }
-
     /// Connections to caches, those being closed included.
     fn lines_used(&self) -> usize {
         self.lines.len() + self.closing.values().filter(|&&line| line).count()
@@ -582,7 +642,9 @@
         self.timers.set(self.now + delay, Timer::FeedConnect);
     }
 
-    fn list(&mut self, whole: bool, members: &[feed::Listed]) {
+    /// Takes the list, and says which members have started anew or stand elsewhere.
+    fn list(&mut self, whole: bool, members: &[feed::Listed]) -> Vec<u32> {
+        let mut anew = Vec::new();
         if whole {
             let listed: FxHashSet<_> = members.iter().filter_map(|l| push::number(&l.member.id)).collect();
             let left: Vec<_> = self.places.keys().copied().filter(|c| !listed.contains(c)).collect();
@@ -594,18 +656,19 @@
         for listed in members {
             let Some(cache) = push::number(&listed.member.id) else { continue };
             let place = Place { at: listed.at, started: listed.member.started };
-            let moved =
-                self.places.get(&cache).is_some_and(|p| (p.at, p.started) != (place.at, place.started));
+            let moved = self.places.get(&cache).is_some_and(|p| *p != place);
             if listed.member.standing == Standing::Gone {
                 self.places.remove(&cache);
                 self.drop_idle(cache);
             } else {
                 if moved {
                     self.drop_idle(cache);
+                    anew.push(cache);
                 }
                 self.places.insert(cache, place);
             }
         }
+        anew
     }
 
     fn drop_idle(&mut self, cache: u32) {
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -3,7 +3,7 @@
 use doorgrade::{Access, AccessId, Tenths};
 use rustc_hash::FxHashMap;
 
-use super::{Effect, Reducer, Taken, Work};
+use super::{Effect, FINISH, Reducer, Taken, Timer, Work};
 use crate::answer::{Outbox, Reply};
 use crate::bounds;
 use crate::conn::ConnId;
@@ -13,8 +13,6 @@
 
 pub(super) struct Client {
     pub(super) intake: Intake,
-    /// What was read, while too much waits to be written to read on.
-    pub(super) paused: Option<Ring>,
     /// None while the coroutine writes.
     pub(super) out: Option<Ring>,
     /// When something last came, and when it was last handed something to write.
@@ -24,11 +22,15 @@
     pub(super) wrote: Tenths,
     pub(super) outbox: Outbox,
     pub(super) accesses: FxHashMap<u16, AccessId>,
-    /// Nothing more will be read.
-    pub(super) ended: bool,
+    /// Its connection ends with what is open on it.
+    pub(super) last: bool,
+    /// Since when its connection has been ended from here.
+    pub(super) finishing: Option<Tenths>,
 }
 
 const COMPLAINTS: Tenths = 10_000;
+/// So many of the connections that clients may have are kept for newcomers, so that old ones can be ended in order.
+const SPARE: usize = 2;
 
 impl Client {
     /// Nothing is open and nothing waits to be written: nobody loses by its end.
@@ -43,12 +45,26 @@
 
 impl Reducer {
     pub(super) fn client_read(&mut self, conn: ConnId, mut ring: Ring, ended: bool, at: Tenths) {
+        // Nobody waits for an answer to what came with the end: no attempt is to begin for it. An end of writing alone
+        // can't be told from a close; web servers of this protocol have no use for it (docs/races.md).
+        if ended {
+            return self.drop_client(conn);
+        }
+        if let Some(client) = self.work.clients.get_mut(&conn) {
+            // Something had come before its connection was ended.
+            client.finishing = client.finishing.filter(|_| client.intake.deaf);
+        }
         loop {
             let Some(client) = self.work.clients.get_mut(&conn) else { return };
             let before = client.intake.held();
             if client.intake.deaf {
                 ring.clear();
             }
+            if client.outbox.crowded() {
+                // Not read on, its end and what it gives up would go unseen; read on, it would fill the memory.
+                self.work.complain("a client sends on and reads nothing: its connection is closed");
+                return self.drop_client(conn);
+            }
             let room = self.work.bounds.bodies.saturating_sub(self.work.bodies);
             let said = client.intake.next(&mut ring, room);
             let after = client.intake.held();
@@ -66,19 +82,13 @@
             }
         }
         let Some(client) = self.work.clients.get_mut(&conn) else { return };
-        if ended {
-            return self.drop_client(conn);
-        }
         client.heard = self.work.now;
         if client.began.is_none() && (client.intake.unfinished() || !ring.is_empty()) {
             client.began = Some(self.work.now);
         }
-        client.ended = client.intake.last;
-        if client.outbox.crowded() || client.intake.deaf {
-            client.paused = Some(ring);
-        } else {
-            self.work.effects.push(Effect::Read(conn, ring));
-        }
+        client.last = client.intake.last;
+        self.work.effects.push(Effect::Read(conn, ring));
+        self.work.finish_last(conn);
     }
 
     pub(super) fn said(&mut self, conn: ConnId, said: Said, at: Tenths) {
@@ -131,7 +141,7 @@
             return work.reply(conn, id, Reply::bare(400));
         }
         // Nothing was pushed yet, so trying again is harmless.
-        if !work.phase.takes() || work.bodies + 2 * request.body.len() > work.bounds.bodies {
+        if !work.phase.takes(work.now) || work.bodies + 2 * request.body.len() > work.bounds.bodies {
             return work.reply(conn, id, Reply::bare(503));
         }
         let Some(client) = work.clients.get_mut(&conn) else { return };
@@ -169,6 +179,7 @@
         if let Some(taken) = self.work.accesses.get_mut(&access)
             && !std::mem::replace(&mut taken.done, true)
         {
+            self.work.stop_unsent(access);
             self.front.left(access, &mut self.work);
             self.work.tidy(access);
         }
@@ -192,46 +203,76 @@
             return self.drop_client(conn);
         }
         work.write_client(conn);
-        let at = work.now - work.ahead;
-        if let Some(client) = work.clients.get_mut(&conn)
-            && !client.outbox.crowded()
-            && let Some(ring) = client.paused.take()
-        {
-            self.client_read(conn, ring, false, at);
-        }
-        let over = |c: &Client| c.ended && c.intake.open() == 0 && c.outbox.is_empty() && c.out.is_some();
-        if self.work.clients.get(&conn).is_some_and(over) {
-            self.drop_client(conn);
-        }
+        work.finish_last(conn);
     }
 }
 
 impl Work {
+    /// Ends a client's connection in order: it is closed when the other side has ended it, too, or takes too long.
+    pub(super) fn finish(&mut self, conn: ConnId) {
+        if let Some(client) = self.clients.get_mut(&conn).filter(|c| c.finishing.is_none()) {
+            client.finishing = Some(self.now);
+            self.effects.push(Effect::Finish(conn, client.intake.deaf));
+            self.timers.set(self.now + FINISH, Timer::Finished(conn));
+        }
+    }
+
+    /// The connection was to end with what is open on it, and nothing is.
+    fn finish_last(&mut self, conn: ConnId) {
+        let over = |c: &Client| c.last && c.intake.open() == 0 && c.outbox.is_empty() && c.out.is_some();
+        if self.clients.get(&conn).is_some_and(over) {
+            self.finish(conn);
+        }
+    }
+
+    /// The one that has said nothing for the longest, if nothing is owed to it.
+    fn idle_longest(&self, finishing: bool) -> Option<ConnId> {
+        let idle = |c: &Client| c.owed_nothing() && c.finishing.is_some() == finishing;
+        let idle = self.clients.iter().filter(|(_, c)| idle(c));
+        idle.min_by_key(|&(&conn, c)| (c.idle_since(), conn)).map(|(&conn, _)| conn)
+    }
+
+    /// A client's connection that nobody uses is closed at once; one whose end is under way first.
+    fn close_client(&mut self) -> Option<()> {
+        let conn = self.idle_longest(true).or_else(|| self.idle_longest(false))?;
+        let gone = self.clients.remove(&conn);
+        self.bodies = self.bodies.saturating_sub(gone.map_or(0, |c| c.intake.held()));
+        self.close(conn);
+        Some(())
+    }
+
+    /// The machine has no descriptor left: who holds one without using it gives it back.
+    pub(super) fn make_room(&mut self) {
+        self.complain("this machine has no descriptor or memory left for connections");
+        if self.close_client().is_none() {
+            let _ = self.close_idle();
+        }
+    }
+
     pub(super) fn accepted(&mut self, conn: ConnId) {
-        if self.clients.len() >= self.bounds.clients {
-            // The one that has said nothing for the longest makes room, if nothing is owed to it: clients
-            // that hold connections they do not use must not keep others out.
-            let spare = self.clients.iter().filter(|(_, c)| c.owed_nothing());
-            let Some(oldest) =
-                spare.min_by_key(|&(&conn, c)| (c.idle_since(), conn)).map(|(&oldest, _)| oldest)
-            else {
+        // The ones idle longest make room: clients that hold connections they do not use must not keep others out.
+        // While there is some, in order, since the next request of one may be on its way.
+        if self.clients.len() + SPARE >= self.bounds.clients
+            && let Some(oldest) = self.idle_longest(false)
+        {
+            self.finish(oldest);
+        }
+        while self.clients.len() >= self.bounds.clients {
+            if self.close_client().is_none() {
                 self.complain("no descriptor left for a client");
                 return self.close(conn);
-            };
-            let gone = self.clients.remove(&oldest);
-            self.bodies = self.bodies.saturating_sub(gone.map_or(0, |c| c.intake.held()));
-            self.close(oldest);
+            }
         }
         let client = Client {
             intake: Intake::default(),
-            paused: None,
             out: Some(Ring::new(bounds::CLIENT_OUT)),
             heard: self.now,
             began: Some(self.now),
             wrote: self.now,
             outbox: Outbox::default(),
             accesses: FxHashMap::default(),
-            ended: false,
+            last: false,
+            finishing: None,
         };
         self.clients.insert(conn, client);
         // What was lent is taken back, as far as it is not in use.
@@ -295,6 +336,7 @@
             }
             let (client, id) = (taken.client, taken.id);
             self.reply(client, id, reply);
+            self.stop_unsent(access);
         }
     }
 
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -49,11 +49,11 @@
         }
         line.out = Some(Ring::new(bounds::LINE_OUT));
         (line.state, line.since) = (State::Idle, self.now);
-        let (cache, carries) = (line.cache, line.carries);
+        let (cache, place, carries) = (line.cache, line.place, line.carries);
         self.effects.push(Effect::Read(conn, Ring::new(bounds::LINE_IN)));
         match carries {
             Some((access, push)) => self.send(conn, access, push),
-            None if self.places.contains_key(&cache) => self.pools.put(cache, conn),
+            None if self.places.get(&cache) == Some(&place) => self.pools.put(cache, conn, self.now),
             None => self.close(conn),
         }
     }
@@ -63,9 +63,9 @@
         let Some(taken) = self.accesses.get_mut(&access) else { return };
         let Some(sent) = taken.sent.get_mut(push) else { return };
         let Some(line) = self.lines.get_mut(&conn) else { return };
-        if self.now >= sent.begin_by {
+        if self.now >= sent.begin_by || taken.done {
             line.carries = None;
-            self.pools.put(line.cache, conn);
+            self.pools.put(line.cache, conn, self.now);
             return self.end_push(access, push, Got::bare(Outcome::NeverSent));
         }
         sent.conn = Some(conn);
@@ -99,6 +99,10 @@
         let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) else { return };
         let lost = !kept && std::mem::replace(&mut sent.unlucky, true);
         (sent.request, sent.conn) = (request, None);
+        if self.accesses.get(&access).is_some_and(|t| t.done) {
+            return self.end_push(access, push, Got::bare(Outcome::NeverSent));
+        }
+        let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) else { return };
         if lost || sent.outdated || self.carry(cache, access, push).is_none() {
             let outcome = if lost { Outcome::Unreachable } else { Outcome::NeverSent };
             self.end_push(access, push, Got::bare(outcome));
@@ -112,7 +116,7 @@
         let progress = line.take(&mut ring, room);
         self.bodies = (self.bodies + line.held()).saturating_sub(before);
         self.most.bodies = self.most.bodies.max(self.bodies);
-        let cache = line.cache;
+        let (cache, place) = (line.cache, line.place);
         match progress {
             Progress::Whole(got, closes) => {
                 // From here on the bytes are the answer's.
@@ -121,11 +125,11 @@
                 let carries = line.carries.take();
                 // Nor is one kept that no such push may use.
                 let once = carries.is_some_and(|c| self.accesses.get(&c.0).is_some_and(|t| !t.repeatable));
-                if ended || closes || once || !self.places.contains_key(&cache) {
+                if ended || closes || once || self.places.get(&cache) != Some(&place) {
                     self.close(conn);
                 } else {
                     (line.state, line.kept) = (State::Idle, true);
-                    self.pools.put(cache, conn);
+                    self.pools.put(cache, conn, self.now);
                     self.effects.push(Effect::Read(conn, ring));
                 }
                 if let Some((access, push)) = carries {
@@ -193,6 +197,17 @@
         self.end_push(access, push, Got::bare(outcome));
     }
 
+    /// Nobody waits for this access any more: what has not gone out stays here, whatever its effect, and whether or not
+    /// caches can be told to stop what has.
+    pub(super) fn stop_unsent(&mut self, access: AccessId) {
+        let Some(taken) = self.accesses.get(&access) else { return };
+        let waits = |&n: &usize| taken.sent[n].live && !taken.sent[n].request.is_empty();
+        let waiting: Vec<_> = (0..taken.sent.len()).filter(waits).collect();
+        for push in waiting {
+            self.stop_push(access, push, Outcome::NeverSent);
+        }
+    }
+
     /// Word has come that some pushes must heed. Those that still wait for a connection have not: a
     /// connection may take longer than the word's grace. They end as never sent, and the module decides anew.
     pub(super) fn recall(&mut self, concerned: impl Fn(&Taken, &Sent) -> bool) {
@@ -224,19 +239,20 @@
 
     /// A connection for a push: an idle one, or a new one where descriptors allow.
     pub(super) fn carry(&mut self, cache: u32, access: AccessId, push: usize) -> Option<()> {
-        let at = self.places.get(&cache)?.at;
+        let place = *self.places.get(&cache)?;
         // A kept connection may be ending while the request is on its way, and then it may have run: what must
         // not run twice goes over a new one.
         let repeatable = self.accesses.get(&access).is_some_and(|t| t.repeatable);
-        if repeatable && let Some(conn) = self.pools.get(cache) {
+        let full = self.lines_used() >= self.bounds.lines_with(self.clients.len());
+        if repeatable && let Some(conn) = self.pools.get(cache, self.now, full) {
             self.send(conn, access, push);
             return Some(());
         }
-        if self.lines_used() >= self.bounds.lines_with(self.clients.len()) {
+        if full {
             self.close_idle()?;
         }
-        let conn = self.connect(at);
-        self.lines.insert(conn, Line::new(cache, (access, push), self.now));
+        let conn = self.connect(place.at);
+        self.lines.insert(conn, Line::new(cache, place, (access, push), self.now));
         self.most.lines = self.most.lines.max(self.lines_used());
         if let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) {
             sent.conn = Some(conn);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,5 +1,6 @@
 //! Serving: reads the configuration, then hands what happens to the reducer and does what it asks for.
 
+use std::collections::VecDeque;
 use std::io::Read;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,10 +16,11 @@
 
 use doorgrade::Tenths;
 
-use crate::accept;
+use crate::accept::{self, Door};
 use crate::clock::{self, Clock};
 use crate::config::{Config, Renewal};
 use crate::conn::{self, ConnId, Event, Port};
+use crate::fastcgi;
 use crate::neighbours::Beside;
 use crate::reducer::{Effect, Input, Learned, Made, Reducer};
 use crate::side::Side;
@@ -43,6 +45,7 @@
         let text = std::fs::read_to_string(path);
         let text = text.map_err(|e| format!("PROXY_CONFIG: {}: {e}", path.display()))?;
         let config = Config::read(&text, self.name.clone(), self.listen.clone())?;
+        let config = config.on(rustix::process::getrlimit(rustix::process::Resource::Nofile).current)?;
         Ok(config.with(files::load(self.settings.as_deref()).map_err(|e| e.to_string())?))
     }
 }
@@ -73,7 +76,7 @@
         None => config,
     };
     let in_use: Shared = Arc::new(Mutex::new(InUse { place, first, version, events: events.clone() }));
-    heed_signals(in_use.clone()).map_err(|e| format!("signals: {e}"))?;
+    let stop = heed_signals(in_use.clone(), events.clone()).map_err(|e| format!("signals: {e}"))?;
     let (listen, name) = (config.listen, config.name.clone());
     let known = beside.as_ref().map(Beside::known);
     let homes = beside.as_ref().and_then(Beside::homes);
@@ -83,6 +86,9 @@
     let mut driver = Driver {
         reducer: Reducer::new(config, clock.now()),
         ports: FxHashMap::default(),
+        door: None,
+        stop,
+        came: Came::default(),
         within,
         events,
         taken: None,
@@ -96,9 +102,10 @@
     if let Some((taken, kept)) = homes {
         driver.reducer.input(clock.now(), Input::Homes(taken, kept));
     }
-    let local =
-        accept::listen(listen, driver.events.clone()).map_err(|e| format!("key 'listen': {listen}: {e}"))?;
-    tracing::info!("{name} listens on {local}");
+    let door = accept::listen(listen, driver.reducer.clients(), driver.events.clone())
+        .map_err(|e| format!("key 'listen': {listen}: {e}"))?;
+    tracing::info!("{name} listens on {}", door.local);
+    driver.door = Some(door);
     driver.reducer.input(clock.now(), Input::Listening);
     let follows = kept.map(|kept| kept.follow(name, in_use, served)).transpose()?;
     let speaks = match beside {
@@ -158,7 +165,7 @@
 
 /// A thread of its own hears signals and reads files, so that neither holds up the reducer. It waits at a pipe: the
 /// crate's iterator would hold a pair of Unix sockets, and this program is to have none while it serves.
-fn heed_signals(in_use: Shared) -> std::io::Result<()> {
+fn heed_signals(in_use: Shared, events: Sender<Event>) -> std::io::Result<Arc<AtomicBool>> {
     let (mut heard, told) = std::io::pipe()?;
     let flag = || Arc::new(AtomicBool::new(false));
     let (stop, renew, drain, back) = (flag(), flag(), flag(), flag());
@@ -168,6 +175,7 @@
         signal_hook::low_level::pipe::register(signal, told.try_clone()?)?;
     }
     let named = tracing::Span::current();
+    let told_to_stop = stop.clone();
     std::thread::spawn(move || {
         let _named = named.entered();
         loop {
@@ -175,30 +183,64 @@
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(e) => return tracing::error!("signals are not heard any more: {e}"),
                 Ok(_) => {
-                    let in_use = lock(&in_use);
                     if stop.swap(false, Ordering::SeqCst) {
-                        in_use.send(Event::Stop);
+                        let _ = events.send(Event::Stop);
                     }
                     for (flag, on) in [(&drain, true), (&back, false)] {
                         if flag.swap(false, Ordering::SeqCst) {
-                            in_use.send(Event::Drain(on));
+                            let _ = events.send(Event::Drain(on));
                         }
                     }
+                    // Last: the files may take long, or for ever.
                     if renew.swap(false, Ordering::SeqCst) {
                         clock::heed_tests();
-                        in_use.reload();
+                        lock(&in_use).reload();
                     }
                 }
             }
         }
     });
-    Ok(())
+    Ok(told_to_stop)
+}
+
+/// What has happened and was not handed on yet.
+#[derive(Default)]
+struct Came {
+    /// Clients that have left, or that give something up.
+    left: VecDeque<Event>,
+    others: VecDeque<Event>,
+}
+
+impl Came {
+    /// So many are looked through for clients that have left before any work is done for others.
+    const AHEAD: usize = 4_096;
+
+    /// A connection has one event of reading in the queue at the most, since its ring travels with it: nothing that was
+    /// said on the same connection is overtaken. One that begins with a record by which a request is given up goes
+    /// ahead, too; taken for such a one by mistake, it is merely early.
+    fn put(&mut self, event: Event) {
+        let leaves = match &event {
+            Event::Read { conn, ended, ring, .. } if *conn >= accept::FIRST => {
+                *ended || matches!(ring.front(), [1, fastcgi::ABORT_REQUEST, ..])
+            }
+            _ => false,
+        };
+        if leaves { self.left.push_back(event) } else { self.others.push_back(event) }
+    }
+
+    fn take(&mut self) -> Option<Event> {
+        self.left.pop_front().or_else(|| self.others.pop_front())
+    }
 }
 
 /// Carries inputs to the reducer and its effects out.
 struct Driver {
     reducer: Reducer,
     ports: FxHashMap<ConnId, Port>,
+    door: Option<Door>,
+    /// SIGTERM has come, and the thread that hears signals may still be reading files.
+    stop: Arc<AtomicBool>,
+    came: Came,
     within: Duration,
     events: Sender<Event>,
     /// Who waits to hear that a version was taken.
@@ -222,15 +264,14 @@
                 return self.hand_on();
             }
             let now = clock.now();
-            let event = match self.reducer.next_tick() {
-                Some(at) if at <= now => happened.try_recv().map_err(|_| RecvTimeoutError::Timeout),
-                Some(at) => happened.recv_timeout(Duration::from_micros((at - now) * 100)),
-                None => happened.recv().map_err(|_| RecvTimeoutError::Disconnected),
-            };
+            let event = self.next(now, happened);
             let input = event.map_or(Input::Tick, |event| self.input(event));
             let now = clock.now();
             self.reducer.set_ahead(clock.ahead);
             self.reducer.input(now, input);
+            if let Some(door) = &self.door {
+                door.set_most(self.reducer.clients());
+            }
             if let Some(taken) = self.taken.take() {
                 let _ = taken.send(());
             }
@@ -245,6 +286,24 @@
         }
     }
 
+    /// What is handed on next. Whoever has left goes first, however much else has come: nothing is to begin for it.
+    fn next(&mut self, now: Tenths, happened: &Receiver<Event>) -> Option<Event> {
+        let more = Came::AHEAD.saturating_sub(self.came.others.len());
+        happened.try_iter().take(more).for_each(|event| self.came.put(event));
+        if self.stop.swap(false, Ordering::SeqCst) {
+            return Some(Event::Stop);
+        }
+        if let Some(event) = self.came.take() {
+            return Some(event);
+        }
+        let event = match self.reducer.next_tick() {
+            Some(at) if at <= now => happened.try_recv().map_err(|_| RecvTimeoutError::Timeout),
+            Some(at) => happened.recv_timeout(Duration::from_micros((at - now) * 100)),
+            None => happened.recv().map_err(|_| RecvTimeoutError::Disconnected),
+        };
+        event.ok()
+    }
+
     fn hand_on(&mut self) {
         if let Some(to) = &self.learned {
             let seen = self.reducer.learned();
@@ -273,7 +332,12 @@
             }
             Event::Read { conn, ring, ended, at } => Input::Read { conn, ring, ended, at },
             Event::Wrote { conn, ring, failed } => Input::Wrote { conn, ring, failed },
-            Event::Closed(conn) => Input::Closed(conn),
+            Event::Closed(conn) => {
+                self.ports.remove(&conn);
+                Input::Closed(conn)
+            }
+            Event::NoMeans => Input::NoMeans,
+            Event::Deaf => Input::Deaf,
             Event::Stop => Input::Stop,
             Event::Drain(on) => Input::Drain(on),
             Event::Recall(fills, purges) => Input::Recall(fills, purges),
@@ -309,7 +373,13 @@
                         port.begin(ring);
                     }
                 }
+                Effect::Finish(conn, deaf) => {
+                    if let Some(port) = self.ports.get(&conn) {
+                        port.finish(deaf);
+                    }
+                }
                 Effect::Close(conn) => drop(self.ports.remove(&conn)),
+                Effect::ShutDoor => self.door.iter().for_each(Door::shut),
                 Effect::Exit => return true,
             }
         }
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -202,6 +202,12 @@
     back: Tenths,
     /// Clients that read nothing.
     pub stuck: BTreeSet<ConnId>,
+    /// Clients that don't end a connection which the front has ended.
+    pub resting: BTreeSet<ConnId>,
+    /// What the front had not read yet of the connection that it closed last.
+    pub left_unread: usize,
+    /// The next request that begins is cut off after so many bytes.
+    pub cut_writes: Option<usize>,
     /// Connections of caches that are lost without a word, found out when they are written to.
     pub spoilt: BTreeSet<ConnId>,
     strays: Vec<u16>,
@@ -243,6 +249,9 @@
             running: false,
             back: 0,
             stuck: BTreeSet::new(),
+            resting: BTreeSet::new(),
+            left_unread: 0,
+            cut_writes: None,
             spoilt: BTreeSet::new(),
             strays: Vec::new(),
             heads: BTreeMap::new(),
@@ -282,6 +291,11 @@
                 self.input(Input::Wrote { conn, ring, failed: true });
                 self.input(Input::Read { conn, ring: Ring::new(8), ended: true, at: self.now - self.back });
             }
+            Effect::Begin(conn, mut ring) if self.cut_writes.is_some() => {
+                ring.consume(self.cut_writes.take().unwrap_or(0));
+                self.input(Input::Wrote { conn, ring, failed: true });
+                self.input(Input::Read { conn, ring: Ring::new(8), ended: true, at: self.now - self.back });
+            }
             Effect::Write(conn, mut ring) | Effect::Begin(conn, mut ring) => {
                 let Some(c) = self.conns.get_mut(&conn).filter(|_| !self.stuck.contains(&conn)) else {
                     return;
@@ -291,8 +305,24 @@
                 self.understand(conn);
                 self.input(Input::Wrote { conn, ring, failed: false });
             }
+            Effect::Finish(conn, deaf) => {
+                let Some(c) = self.conns.get(&conn) else { return };
+                let told = c.owed.is_empty() && c.reading.is_some();
+                if !deaf && !told {
+                    return;
+                }
+                let open = |t: &&Taken| t.client == conn && t.answer.is_none() && !t.aborted;
+                assert!(deaf || self.taken.values().find(open).is_none(), "rule 1: ended before its answer");
+                if !self.resting.contains(&conn) {
+                    self.conns.remove(&conn);
+                    self.input(Input::Closed(conn));
+                }
+            }
+            Effect::ShutDoor => self.input(Input::Deaf),
             Effect::Close(conn) => {
-                if self.conns.remove(&conn).is_some_and(|c| c.to.is_none()) {
+                let gone = self.conns.remove(&conn);
+                self.left_unread = gone.as_ref().map_or(0, |c| c.owed.len());
+                if gone.is_some_and(|c| c.to.is_none()) {
                     self.taken.values_mut().filter(|t| t.client == conn).for_each(|t| t.aborted = true);
                 }
                 self.input(Input::Closed(conn));
@@ -508,11 +538,6 @@
         &self.conns[&conn].got
     }
 
-    /// Bytes that the front has not read yet.
-    pub fn unread(&self, conn: ConnId) -> usize {
-        self.conns[&conn].owed.len()
-    }
-
     pub fn clients(&self) -> usize {
         self.conns.values().filter(|c| c.to.is_none()).count()
     }
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -6,6 +6,7 @@
 use doorgrade_front::bounds::Bounds;
 use doorgrade_front::config::{Limits, Renewal};
 use doorgrade_front::fastcgi;
+use doorgrade_front::push::Pools;
 use doorgrade_front::reducer::{Input, Learned};
 use doorgrade_operator::neighbours::Recall;
 use doorgrade_operator::{Files, Settings};
@@ -184,6 +185,8 @@
         w.ask(client, 1, call, 1, 5, 1_000);
         serve(&mut w);
         assert_eq!(w.answer_of(call).map(|a| a.status), Some(200));
+        // It rests that long: what a cache says twice must not meet the next request.
+        w.pass(Pools::REST);
     }
     // The client's, the feed's, and one to the object's cache.
     assert_eq!(w.most_open, 3);
@@ -678,15 +681,17 @@
 }
 
 #[test]
-fn a_client_that_reads_nothing_is_read_no_further_and_closed() {
+fn a_client_that_sends_on_and_reads_nothing_is_closed_at_once_and_its_accesses_with_it() {
     let mut w = World::new(1, 128);
     let client = w.client();
+    w.ask(client, 1, 1, 2, 5, 1_000);
     w.stuck.insert(client);
     let values = record(fastcgi::GET_VALUES, 0, &[], 0);
     w.owe(client, &values.repeat(20_000));
-    assert!(w.unread(client) > 100_000, "the front reads on though nothing is taken");
-    w.pass(11_000 * MS);
     assert_eq!(w.clients(), 0);
+    assert!(w.left_unread > 100_000, "the front reads on though nothing is taken");
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    assert!(w.working().is_empty(), "nothing begins for it");
 }
 
 #[test]
@@ -831,3 +836,145 @@
     }
     assert!(asked > 5, "{asked} times an old home was asked for what it holds of a purged object");
 }
+
+/// A cache says its answer once more, some milliseconds after it; the client's next request is there at once.
+#[test]
+fn an_answer_said_twice_is_not_taken_for_that_to_the_next_request() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    w.ask(client, 1, 1, 1, 5, 1_000);
+    serve(&mut w);
+    let first = w.ports.values().find_map(|&port| w.to_port(port)).expect("a kept connection");
+    // Objects of one cache: another request meets that connection.
+    let same = |w: &World, port| w.to(first) == port;
+    let mut met = 0;
+    for call in 2..40 {
+        w.ask(client, 2, call, 1, call, 1_000);
+        let conns = w.connecting().into_iter().chain(w.working()).collect::<Vec<_>>();
+        met += conns.iter().filter(|&&c| same(&w, w.to(c))).count();
+        assert!(!w.working().contains(&first), "access {call} goes out on a connection that has not rested");
+        serve(&mut w);
+    }
+    assert!(met > 0, "none of them went to that cache");
+    w.owe(first, b"HTTP/1.1 200 OK\r\nTag: aa\r\nContent-Length: 2\r\n\r\nno");
+    assert!(w.ports.values().all(|&port| w.to_port(port) != Some(first)), "it is broken while it rests");
+}
+
+/// Descriptors are short: a connection that has not rested is better than none.
+#[test]
+fn with_no_descriptor_left_a_connection_is_used_before_it_has_rested() {
+    let mut w = World::new(1, 64);
+    let client = w.client();
+    for call in 1..400 {
+        w.ask(client, 1, call, 1, call, 1_000);
+        serve(&mut w);
+        assert_eq!(w.answer_of(call).map(|a| a.status), Some(200), "{call}");
+        assert!(w.most_open <= 64);
+    }
+}
+
+/// A part of a request went out, then its connection was lost: it may have been read.
+#[test]
+fn a_request_cut_off_while_it_is_written_is_not_begun_anew_as_if_unread() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    w.cut_writes = Some(100);
+    w.ask(client, 1, 1, 2, 5, 1_000);
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    assert_eq!(w.answer_of(1).map(|a| a.status), Some(500), "it may have run");
+    assert!(w.connecting().into_iter().all(|c| w.to(c) == 9092), "and goes nowhere again");
+}
+
+/// Its cache has started anew, at the same address, while its connection was being made: the cold one's budget decides.
+#[test]
+fn a_push_that_waits_for_its_connection_is_decided_anew_when_its_cache_restarts() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    w.ask(client, 1, 1, 1, 5, 1_000);
+    let slow = w.connecting()[0];
+    let port = w.to(slow);
+    let id = u32::from(port - 9100);
+    w.feed(&frame(2, 2, &listed(id, port, 0, 0, w.now / 10)));
+    w.connected(slow);
+    assert_eq!(
+        w.pushes_of(1),
+        0,
+        "what was meant for the one before goes out to the one that has just started"
+    );
+    assert_eq!(w.to_port(port), None, "nor is its connection kept");
+    serve(&mut w);
+    assert_eq!(w.answer_of(1).map(|a| a.status), Some(200));
+}
+
+/// A cache stands elsewhere now: a connection to where it was is of no use for it, however it came to rest.
+#[test]
+fn a_connection_to_where_a_cache_was_is_not_kept_for_where_it_is() {
+    for busy in [false, true] {
+        let mut w = World::new(1, 128);
+        let client = w.client();
+        w.connecting().into_iter().for_each(|conn| w.connected(conn));
+        w.ask(client, 1, 1, 1, 5, 1_000);
+        let conn = w.connecting()[0];
+        let port = w.to(conn);
+        if busy {
+            w.connected(conn);
+        }
+        w.feed(&frame(2, 2, &listed(u32::from(port - 9100), 9150, 0, 0, 0)));
+        if !busy {
+            w.connected(conn);
+        }
+        serve(&mut w);
+        assert_eq!(w.answer_of(1).map(|a| a.status), Some(200));
+        assert_eq!(w.to_port(port), None, "busy: {busy}");
+    }
+}
+
+#[test]
+fn clients_told_to_end_are_ended_in_order_and_those_that_stay_cut_off() {
+    let mut w = World::new(1, 128);
+    let clients: Vec<_> = (0..3).map(|_| w.client()).collect();
+    w.resting.insert(clients[0]);
+    // Half a request: it may still become a whole one.
+    w.owe(clients[1], &record(fastcgi::BEGIN_REQUEST, 1, &[0, 1, 1, 0, 0, 0, 0, 0], 0));
+    w.input(Input::Stop);
+    w.pass(890 * MS);
+    assert_eq!(w.clients(), 3);
+    w.pass(20 * MS);
+    assert_eq!(w.clients(), 2, "one rests though the front has ended it, one has half a request");
+    let rest = &request(1, "/do/images", &access(1, 2, 900), &[], 0)[16..];
+    assert_eq!(w.stray(clients[1], rest), Some(503), "too late to be taken, not to be answered");
+    assert_eq!(w.clients(), 1);
+    assert!(!w.exited);
+    w.pass(250 * MS);
+    assert!(w.exited && w.clients() == 0);
+}
+
+#[test]
+fn what_comes_whole_after_the_time_is_declined_while_others_are_still_open() {
+    let mut w = World::new(1, 128);
+    let (client, other) = (w.client(), w.client());
+    w.input(Input::Stop);
+    w.pass(500 * MS);
+    w.ask(client, 1, 1, 1, 5, 2_000);
+    w.pass(450 * MS);
+    assert_eq!(w.clients(), 1, "the other one is ended, the first is owed an answer");
+    let _ = other;
+    w.ask(client, 2, 2, 1, 6, 1_000);
+    assert_eq!(w.answer_of(2).map(|a| a.status), Some(503));
+    serve(&mut w);
+    assert_eq!((w.answer_of(1).map(|a| a.status), w.pushes_of(2)), (Some(200), 0));
+    w.pass(50 * MS);
+    assert!(w.exited);
+}
+
+#[test]
+fn no_attempt_waits_past_the_end_of_the_front() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    w.input(Input::Stop);
+    w.ask(client, 1, 1, 1, 5, 60_000);
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    let told = w.heads[&1].lines().find_map(|l| l.strip_prefix("Call-Ms: ")?.parse::<u64>().ok());
+    assert!(told.is_some_and(|ms| ms <= 2_400), "{told:?} ms to answer, and it ends in 2.4 s");
+}
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -48,6 +48,11 @@
         self.0.write_all(&bytes)
     }
 
+    /// The connection itself.
+    pub fn stream(&self) -> &TcpStream {
+        &self.0
+    }
+
     /// The answer's head and body.
     pub fn receive(&mut self) -> io::Result<(String, Vec<u8>)> {
         let mut out = Vec::new();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod feed;
+pub mod held;
 pub mod links;
 pub mod member;
 pub mod process;
@@ -19,6 +20,7 @@
 
 pub use client::Client;
 pub use feed::Feed;
+pub use held::Held;
 pub use member::{Faults, Member, Role, Spec};
 
 /// Where each member listens, by id.
--- a/src/control/access.rs
+++ b/src/control/access.rs
@@ -28,7 +28,7 @@
         self.spare_pushes = (self.spare_pushes + 0.2).min(20.0);
         let (lacks, rank, renew) = self.remember(now, a);
         let (sent, looked, kept, held, done) = (ArrayVec::new(), false, false, false, false);
-        let access = *a;
+        let access = Access { until: a.until.min(self.end_by), ..*a };
         let held = Held { access, work, soft_at, keen, lacks, rank, renew, sent, looked, kept, held, done };
         let place = self.held.insert(held);
         self.places.insert(a.id, place);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -60,6 +60,7 @@
     filling: Level,
     over: f64, // counts of what is out are averaged over this
     crew: f64,
+    end_by: Tenths, // this front ends: nothing is open from then on
 }
 
 fn hops((cache, source): (usize, usize)) -> impl Iterator<Item = usize> {
@@ -107,6 +108,7 @@
             // 50 ms for each further front: a count of its own few accesses is chance, an average is not.
             over: 500.0 * (f64::from(s.crew) - 1.0),
             crew: f64::from(s.crew),
+            end_by: Tenths::MAX,
         }
     }
 }
--- a/src/control/push.rs
+++ b/src/control/push.rs
@@ -209,6 +209,12 @@
         self.places.get(&id).into_iter().for_each(|&place| self.held[place].done = true);
     }
 
+    /// The front ends by then: no attempt is to begin, nor wait, past it.
+    pub fn end_by(&mut self, at: Tenths) {
+        self.end_by = at;
+        self.held.iter_mut().for_each(|(_, h)| h.access.until = h.access.until.min(at));
+    }
+
     /// The front is about to stop: what is still open ends now.
     pub fn stop(&mut self, out: &mut dyn Outlet) {
         let open: Vec<_> = self.held.iter().filter(|(_, h)| !h.done).map(|(place, _)| place).collect();
