Unrepeatable accesses refused on new connections go over ones used lately

Ruled out: size (refusals spread over all), load (kept ones are served in the same moments), errors (none). At fault: `carry` gave what must not run twice a new connection for each of its attempts, whatever came of the last.

Now an access refused as full on a new connection takes one kept that was used within a quarter of the idle time; if that breaks, it counts as may have run and is given up, as before.

--- a/crates/front/src/push.rs
+++ b/crates/front/src/push.rs
@@ -1,6 +1,7 @@
 //! Connections to caches, kept by cache id, and one push's way over one of them. No I/O.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use doorgrade::{AccessId, Note, Outcome, Tenths};
 use rustc_hash::FxHashMap;
@@ -215,10 +216,10 @@
         self.idle.entry(cache).or_default().push((conn, now));
     }
 
-    /// One that has rested; where no other can be made, any.
-    pub fn get(&mut self, cache: u32, now: Tenths, any: bool) -> Option<ConnId> {
+    /// One that has been idle since then.
+    pub fn get(&mut self, cache: u32, since: RangeInclusive<Tenths>) -> Option<ConnId> {
         let conns = self.idle.get_mut(&cache)?;
-        let place = conns.iter().rposition(|&(_, since)| any || since + Self::REST <= now)?;
+        let place = conns.iter().rposition(|(_, idle)| since.contains(idle))?;
         Some(conns.remove(place).0)
     }
 
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -3,223 +3,35 @@
 mod clients;
 mod pushes;
 mod tiers;
+mod told;
+mod types;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use doorgrade::{AccessId, Ended, Front, Member, Offering, Outcome, Standing, Tenths};
-use doorgrade_hierarchy::homes::Kept;
-use doorgrade_recall::{Fill, Purge};
-use rustc_hash::{FxHashMap, FxHashSet};
+use doorgrade::{Ended, Front, Outcome, Tenths};
+use doorgrade_recall::Fill;
+use rustc_hash::FxHashMap;
 
 use crate::answer::Reply;
-use crate::bounds::{self, Bounds};
+use crate::bounds::Bounds;
 use crate::clock::Timers;
-use crate::config::{Config, Renewal};
+use crate::config::Config;
 use crate::conn::ConnId;
-use crate::feed::{self, Names};
 use crate::follow::Feed;
 use crate::intake::Request;
 use crate::phase::Phase;
-use crate::push::{self, Got, Line, Place, Pools, State};
-use crate::ring::Ring;
+use crate::push::{Line, Pools, State};
 use clients::Client;
-use pushes::Sent;
 use tiers::Tiers;
-
-/// What came of a connection that was asked for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Made {
-    Up,
-    Refused,
-    /// Nobody was asked: this machine has no descriptor or no address left.
-    NoMeans,
-}
-
-/// One thing that has happened.
-pub enum Input {
-    Listening,
-    Accepted(ConnId),
-    Connected(ConnId, Made),
-    Read {
-        conn: ConnId,
-        ring: Ring,
-        ended: bool,
-        at: Tenths,
-    },
-    Wrote {
-        conn: ConnId,
-        ring: Ring,
-        failed: bool,
-    },
-    Closed(ConnId),
-    /// Clients' connections can't be accepted for want of descriptors or memory.
-    NoMeans,
-    /// No client's connection comes any more.
-    Deaf,
-    /// Time has passed.
-    Tick,
-    Stop,
-    /// Clients are told to go elsewhere, or not any more; all that they ask is still taken.
-    Drain(bool),
-    Reload(Box<Renewal>),
-    /// What was known before the start, or is known to neighbours, and holds.
-    Recall(Vec<Fill>, Vec<Purge>),
-    /// Homes of objects as they were before the start, and when that was written.
-    Homes(Tenths, Vec<Kept>),
-}
-
-/// What the front has seen itself, for whoever remembers it. Times are the system's.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Learned {
-    Fill(Fill),
-    Purge(Purge),
-    Homes(Vec<Kept>),
-}
-
-/// One thing to do.
-#[derive(Debug)]
-pub enum Effect {
-    Connect(ConnId, SocketAddr),
-    Read(ConnId, Ring),
-    Write(ConnId, Ring),
-    /// The beginning of a request on a connection that has carried others: written only if it is still good.
-    Begin(ConnId, Ring),
-    /// A client's connection is to be ended in order; unless something has come that was not told yet, where the last
-    /// is false.
-    Finish(ConnId, bool),
-    Close(ConnId),
-    /// Nobody is to be let in any more.
-    ShutDoor,
-    Exit,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    /// The module's own.
-    Module(u64),
-    /// A push's time is up.
-    PushOver(AccessId, usize),
-    FeedConnect,
-    /// Once in a while: silence of the feed, idle connections, clients that do not read.
-    Sweep,
-    /// The other side has not ended a connection that was to be ended in order.
-    Finished(ConnId),
-    Phase,
-}
-
-const SWEEP: Tenths = 2_500;
-/// How often the log has the highest counts.
-const TOLD: Tenths = 100_000;
-/// A client that has not read a ring's worth in this time, the longest it may wait for an answer, never will.
-const UNREAD: Tenths = 100_000;
-/// A client to which nothing is owed and that says nothing for so long has vanished, or holds on for good:
-/// protocol fact, clients close what is idle after 4 s.
-const SILENT: Tenths = 60_000;
-/// Whoever has not sent a whole request in this time never will. A client is owed an answer or a close within
-/// 3 s of connecting; two sweeps and some less.
-const UNFINISHED: Tenths = 24_000;
-/// How long the other side may take to end a connection that was ended here: some round trips to a client, whose
-/// requests that cross the end come again within 50 ms.
-const FINISH: Tenths = 2_000;
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Door {
-    Open,
-    Closing,
-    Shut,
-}
-
-struct Taken {
-    client: ConnId,
-    id: u16,
-    request: Box<Request>,
-    repeatable: bool,
-    /// The final answer was given, or is not owed any more.
-    done: bool,
-    sent: Vec<Sent>,
-    /// Its soft limit, as the module sees it.
-    soft_at: Tenths,
-    /// What it is worth, and until when it earns that.
-    worth: f64,
-    aim: Tenths,
-}
-
-/// Benefit asked for, and had within the soft limit, in all.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Served {
-    pub asked: f64,
-    pub in_time: f64,
-}
-
-/// The most that was in use at once, for the log.
-#[derive(Default, Debug)]
-pub struct Most {
-    pub clients: usize,
-    pub lines: usize,
-    pub bodies: usize,
-    pub accesses: usize,
-    /// The longest a timer came late, and something read waited in the queue, in tenths of a millisecond.
-    pub late: Tenths,
-    pub queued: Tenths,
-}
+use types::{Door, FINISH, SILENT, SWEEP, TOLD, Taken, Timer, UNFINISHED, UNREAD, Work};
+pub use types::{Effect, Input, Learned, Made, Most, Served};
 
 pub struct Reducer {
     front: Front,
     work: Work,
 }
 
-struct Work {
-    names: Names,
-    /// Their names.
-    offerings: Vec<String>,
-    /// What they are worth and until when, and the rate at which a part is sent.
-    worths: Vec<Offering>,
-    flow_kb_per_s: f64,
-    served: Served,
-    bounds: Bounds,
-    idle: Tenths,
-    longest: Tenths,
-    feed_at: SocketAddr,
-    now: Tenths,
-    phase: Phase,
-    /// Clients' connections come, may still come though nobody is to be let in, or come no more.
-    door: Door,
-    /// `/check` says that it is not ready, though it serves: operators want clients to go elsewhere.
-    drains: bool,
-    timers: Timers<Timer>,
-    effects: Vec<Effect>,
-    clients: FxHashMap<ConnId, Client>,
-    lines: FxHashMap<ConnId, Line>,
-    pools: Pools,
-    places: FxHashMap<u32, Place>,
-    feed: Feed,
-    accesses: FxHashMap<AccessId, Taken>,
-    /// Of the accesses above by their clients' ids, the last of each.
-    by_id: FxHashMap<u64, AccessId>,
-    next_access: AccessId,
-    next_conn: ConnId,
-    /// Connections closed whose descriptors are not back yet.
-    closing: FxHashMap<ConnId, bool>,
-    /// Ends of pushes that the module has not heard of yet.
-    ends: VecDeque<(AccessId, usize, Got)>,
-    /// Bytes of bodies held, of all answers and writes.
-    bodies: usize,
-    /// Connections whose answers wait for room.
-    parked: VecDeque<ConnId>,
-    most: Most,
-    told_at: Tenths,
-    /// Not yet in the log, and when the last was.
-    complaints: usize,
-    complained_at: Tenths,
-    /// By how much `now` is ahead of the system's clock, which was set back.
-    ahead: Tenths,
-    /// Parents in tiers, where operators have said so.
-    tiers: Option<Tiers>,
-    /// What was seen since it was asked last; none where nobody remembers it.
-    learned: Option<Vec<Learned>>,
-}
-
 impl Reducer {
     pub fn new(config: Config, now: Tenths) -> Self {
         let tiers = Tiers::new(&config, now);
@@ -457,76 +269,6 @@
         }
     }
 
-    // ---- the control feed
-
-    fn hear(&mut self, event: feed::Event) {
-        let now = self.work.now;
-        match event {
-            feed::Event::List { whole, members } => {
-                let anew = self.work.list(whole, &members);
-                let moved = |m: Member| Member { started: m.started.map(|t| t + self.work.ahead), ..m };
-                let members: Vec<Member> = members.into_iter().map(|l| moved(l.member)).collect();
-                self.work.list_tiers(&members, whole);
-                self.front.listed(now, &members, whole, &mut self.work);
-                let stays = |m: &&Member| m.standing == Standing::Listed;
-                let stay: FxHashSet<_> = members.iter().filter(stays).map(|m| push::number(&m.id)).collect();
-                let told: FxHashSet<_> = members.iter().map(|m| push::number(&m.id)).collect();
-                let leaves =
-                    |n: &Option<u32>| n.is_some() && !stay.contains(n) && (whole || told.contains(n));
-                // What was meant for one that has started anew since would come on top of its budget.
-                let anew = |n: &Option<u32>| n.is_some_and(|n| anew.contains(&n));
-                self.work.recall(|_, sent| sent.names.iter().any(|n| leaves(n) || anew(n)));
-            }
-            feed::Event::Purge { object, group, at } => {
-                if let Some(seen) = &mut self.work.learned {
-                    seen.push(Learned::Purge(Purge { object, group: group as u16, at }));
-                }
-                self.purged(object, group, at);
-            }
-        }
-    }
-
-    fn purged(&mut self, object: Option<u64>, group: u64, at: Tenths) {
-        let now = self.work.now;
-        self.front.purged(now, object, group, now.saturating_sub(at.saturating_add(self.work.ahead)));
-        let of = |r: &Request| object.map_or(r.group == group, |o| r.object == o);
-        self.work.recall(|taken, _| of(&taken.request));
-    }
-
-    /// Memory from before the start, or of others. What was seen since goes before it, in the module.
-    fn recall(&mut self, fills: &[Fill], purges: &[Purge]) {
-        let (now, ahead) = (self.work.now, self.work.ahead);
-        purges.iter().for_each(|p| self.purged(p.object, u64::from(p.group), p.at));
-        for f in fills {
-            let moved = |at: Tenths| at.saturating_add(ahead);
-            self.front.recall(now, (f.object, f.part), moved(f.made), moved(f.seen));
-        }
-    }
-
-    fn feed_read(&mut self, conn: ConnId, mut ring: Ring, ended: bool) {
-        loop {
-            match self.work.feed.take(&mut ring, &self.work.names, self.work.now) {
-                Ok(Some(event)) => self.hear(event),
-                Ok(None) => break,
-                Err(feed::Malformed(what)) => {
-                    tracing::warn!(
-                        "feed: {what} can't be used, connecting anew after {}",
-                        self.work.feed.number
-                    );
-                    return self.work.lose_feed();
-                }
-            }
-        }
-        if ended {
-            tracing::info!("feed: connection lost");
-            self.work.lose_feed();
-        } else {
-            self.work.effects.push(Effect::Read(conn, ring));
-        }
-    }
-
-    // ---- time
-
     fn sweep(&mut self) {
         let work = &mut self.work;
         let now = work.now;
@@ -599,81 +341,4 @@
     fn lines_used(&self) -> usize {
         self.lines.len() + self.closing.values().filter(|&&line| line).count()
     }
-
-    // ---- the control feed
-
-    fn connect_feed(&mut self) {
-        if self.feed.conn.is_none() && !self.phase.gone() {
-            self.feed.conn = Some(self.connect(self.feed_at));
-        }
-    }
-
-    /// What was told but not read yet comes again: the new connection starts from the last event taken.
-    fn reload(&mut self, to: &Renewal) {
-        self.bounds = Bounds::new(&to.limits);
-        self.take_shape(&to.files.shape, to.whole);
-        tracing::info!("configuration taken anew; bounds: {:?}; feed at {}", self.bounds, to.feed);
-        if std::mem::replace(&mut self.feed_at, to.feed) != to.feed {
-            // One that is still being made is closed once it is up.
-            if let Some(conn) = self.feed.conn.filter(|_| self.feed.up) {
-                self.close(conn);
-            }
-            self.feed.moved();
-            self.connect_feed();
-        }
-    }
-
-    fn feed_connected(&mut self, conn: ConnId, made: Made) {
-        if made != Made::Up {
-            let delay = self.feed.lost();
-            return self.timers.set(self.now + delay, Timer::FeedConnect);
-        }
-        let mut ring = Ring::new(8);
-        ring.put(&self.feed.begin(self.now));
-        self.effects.push(Effect::Write(conn, ring));
-        self.effects.push(Effect::Read(conn, Ring::new(bounds::FEED_IN)));
-    }
-
-    fn lose_feed(&mut self) {
-        if let Some(conn) = self.feed.conn {
-            self.close(conn);
-        }
-        let delay = self.feed.lost();
-        self.timers.set(self.now + delay, Timer::FeedConnect);
-    }
-
-    /// Takes the list, and says which members have started anew or stand elsewhere.
-    fn list(&mut self, whole: bool, members: &[feed::Listed]) -> Vec<u32> {
-        let mut anew = Vec::new();
-        if whole {
-            let listed: FxHashSet<_> = members.iter().filter_map(|l| push::number(&l.member.id)).collect();
-            let left: Vec<_> = self.places.keys().copied().filter(|c| !listed.contains(c)).collect();
-            for cache in left {
-                self.places.remove(&cache);
-                self.drop_idle(cache);
-            }
-        }
-        for listed in members {
-            let Some(cache) = push::number(&listed.member.id) else { continue };
-            let place = Place { at: listed.at, started: listed.member.started };
-            let moved = self.places.get(&cache).is_some_and(|p| *p != place);
-            if listed.member.standing == Standing::Gone {
-                self.places.remove(&cache);
-                self.drop_idle(cache);
-            } else {
-                if moved {
-                    self.drop_idle(cache);
-                    anew.push(cache);
-                }
-                self.places.insert(cache, place);
-            }
-        }
-        anew
-    }
-
-    fn drop_idle(&mut self, cache: u32) {
-        for conn in self.pools.drop_all(cache) {
-            self.close(conn);
-        }
-    }
 }
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -9,7 +9,7 @@
 use crate::bounds;
 use crate::conn::ConnId;
 use crate::http::{self, Ask};
-use crate::push::{self, Got, Line, Progress, State};
+use crate::push::{self, Got, Line, Pools, Progress, State};
 use crate::ring::Ring;
 
 pub(super) struct Sent {
@@ -24,6 +24,8 @@
     pub(super) live: bool,
     /// A new connection was lost before anything was written on it.
     pub(super) unlucky: bool,
+    /// Refused as full on a new connection: its cache may hold no more of them.
+    pub(super) crowded_out: bool,
     /// Word has come since that it must heed.
     pub(super) outdated: bool,
     /// Its cache was asked to renew its copy behind.
@@ -123,12 +125,19 @@
                 self.bodies += got.body.len();
                 line.since = self.now;
                 let carries = line.carries.take();
-                // Nor is one kept that no such push may use.
-                let once = carries.is_some_and(|c| self.accesses.get(&c.0).is_some_and(|t| !t.repeatable));
+                let kept = line.kept;
+                let taken = carries.and_then(|c| Some((self.accesses.get_mut(&c.0)?, c.1)));
+                // Nor is one kept that no such push may use; one that was kept before stays for others.
+                let once = !kept && taken.as_ref().is_some_and(|(t, _)| !t.repeatable);
+                if let Some(sent) = taken.and_then(|(t, push)| t.sent.get_mut(push)) {
+                    sent.crowded_out = !kept && got.outcome == Outcome::Full;
+                }
                 if ended || closes || once || self.places.get(&cache) != Some(&place) {
                     self.close(conn);
                 } else {
-                    (line.state, line.kept) = (State::Idle, true);
+                    if let Some(line) = self.lines.get_mut(&conn) {
+                        (line.state, line.kept) = (State::Idle, true);
+                    }
                     self.pools.put(cache, conn, self.now);
                     self.effects.push(Effect::Read(conn, ring));
                 }
@@ -241,10 +250,17 @@
     pub(super) fn carry(&mut self, cache: u32, access: AccessId, push: usize) -> Option<()> {
         let place = *self.places.get(&cache)?;
         // A kept connection may be ending while the request is on its way, and then it may have run: what must
-        // not run twice goes over a new one.
-        let repeatable = self.accesses.get(&access).is_some_and(|t| t.repeatable);
+        // not run twice goes over a new one. Where new ones are refused, one used lately is the better risk: the other
+        // side ends those that were idle long.
+        let taken = self.accesses.get(&access)?;
         let full = self.lines_used() >= self.bounds.lines_with(self.clients.len());
-        if repeatable && let Some(conn) = self.pools.get(cache, self.now, full) {
+        let lately = match (taken.repeatable, taken.sent.iter().any(|s| s.crowded_out)) {
+            (true, _) => Some(0),
+            (false, true) => Some(self.now.saturating_sub(self.idle / 4)),
+            (false, false) => None,
+        };
+        let rested = if full { self.now } else { self.now.saturating_sub(Pools::REST) };
+        if let Some(conn) = lately.and_then(|since| self.pools.get(cache, since..=rested)) {
             self.send(conn, access, push);
             return Some(());
         }
@@ -300,6 +316,7 @@
             begin_by: p.begin_by,
             live: true,
             unlucky: false,
+            crowded_out: false,
             outdated: false,
             renews: p.renew,
         });
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -224,8 +224,19 @@
 
     /// With the operators' files.
     pub fn with(seed: u64, sockets: usize, files: Files) -> World {
+        World::of(seed, &config(sockets), files)
+    }
+
+    /// With another word somewhere in the configuration.
+    pub fn changed(seed: u64, sockets: usize, from: &str, to: &str) -> World {
+        let config = config(sockets);
+        assert!(config.contains(from), "{from}");
+        World::of(seed, &config.replace(from, to), Files::default())
+    }
+
+    fn of(seed: u64, config: &str, files: Files) -> World {
         let now = 17_000_000_000_000;
-        let config = Config::read(&config(sockets), None, None).expect("a sound configuration").with(files);
+        let config = Config::read(config, None, None).expect("a sound configuration").with(files);
         let mut ports: BTreeMap<_, _> = (9101..).zip(CACHES).map(|(p, id)| (id.to_owned(), p)).collect();
         ports.extend([(PARENT.to_owned(), 9110), (SECOND.to_owned(), 9111), (ORIGIN.to_owned(), 9120)]);
         let mut world = World {
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -978,3 +978,89 @@
     let told = w.heads[&1].lines().find_map(|l| l.strip_prefix("Call-Ms: ")?.parse::<u64>().ok());
     assert!(told.is_some_and(|ms| ms <= 2_400), "{told:?} ms to answer, and it ends in 2.4 s");
 }
+
+/// Caches heed no cancel. A second copy waits for its connection, the first is answered, the connection comes up.
+#[test]
+fn a_second_copy_that_waits_for_its_connection_does_not_go_out_after_the_answer() {
+    let mut w = World::changed(1, 128, "\"cancel\":true", "\"cancel\":false");
+    let client = w.client();
+    // All caches answer, so that one that does not is taken for stuck.
+    for call in 1..200 {
+        w.ask(client, 1, call, 1, call, 1_000);
+        serve(&mut w);
+        w.pass(Pools::REST);
+    }
+    // Connections to where the second copy may go are closed, as idle ones are.
+    w.pass(12_000 * MS);
+    let client = w.client();
+    w.ask(client, 1, 200, 1, 5, 1_900);
+    w.connecting()
+        .into_iter()
+        .filter(|&c| w.to(c) != 9092)
+        .collect::<Vec<_>>()
+        .into_iter()
+        .for_each(|c| w.connected(c));
+    let first = w.working();
+    assert_eq!(first.len(), 1);
+    let mut more = 1_000;
+    for _ in 0..60 {
+        w.pass(10 * MS);
+        // Others are answered meanwhile, on connections of their own.
+        for conn in w.working().into_iter().filter(|c| !first.contains(c)).collect::<Vec<_>>() {
+            w.reply(conn, 200, false, "h");
+        }
+        if w.connecting().iter().any(|&c| w.to(c) != 9092 && w.to(c) != w.to(first[0])) {
+            break;
+        }
+        more += 1;
+        w.ask(client, 2, more, 1, 5, 1_000);
+        w.connecting()
+            .into_iter()
+            .filter(|&c| w.to(c) == w.to(first[0]))
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|c| w.connected(c));
+    }
+    let second: Vec<_> = w.connecting().into_iter().filter(|&c| w.to(c) != 9092).collect();
+    assert!(!second.is_empty(), "no second copy waits for its connection");
+    w.reply(first[0], 200, false, "h");
+    assert_eq!(w.answer_of(200).map(|a| a.status), Some(200));
+    // The helper fails at a push after the final answer.
+    second.into_iter().for_each(|conn| w.connected(conn));
+    assert_eq!(w.pushes_of(200), 1);
+}
+
+/// The origin takes no new connections, and serves the ones it has.
+#[test]
+fn what_must_not_run_twice_goes_over_a_kept_connection_where_new_ones_are_refused() {
+    // Votes go to the origin, too: a connection to there is kept by what may be repeated.
+    let mut w =
+        World::changed(1, 128, "\"passOn\":[false,false,true,false]", "\"passOn\":[false,false,true,true]");
+    let client = w.client();
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    w.ask(client, 1, 1, 3, 5, 1_000);
+    serve(&mut w);
+    let kept = w.to_port(9120).expect("a connection to the origin");
+    w.pass(Pools::REST);
+    for call in 2..6 {
+        w.ask(client, 1, call, 2, call, 1_000);
+        let new: Vec<_> = w.connecting().into_iter().filter(|&c| w.to(c) == 9120).collect();
+        assert_eq!(new.len(), 1, "a new one first");
+        new.iter().for_each(|&conn| w.connected(conn));
+        new.iter().for_each(|&conn| w.reply(conn, 503, true, "?"));
+        assert_eq!(w.working(), [kept], "access {call}");
+        serve(&mut w);
+        assert_eq!((w.answer_of(call).map(|a| a.status), w.pushes_of(call)), (Some(200), 2));
+        w.pass(Pools::REST);
+    }
+    // One that was idle long may be ending: it is not risked.
+    w.pass(5_000 * MS);
+    w.feed(&frame(1, 0, &[]));
+    w.ask(client, 1, 9, 2, 9, 1_000);
+    for _ in 0..8 {
+        w.connecting().into_iter().for_each(|conn| w.connected(conn));
+        assert!(!w.working().contains(&kept));
+        w.working().into_iter().for_each(|conn| w.reply(conn, 503, true, "?"));
+    }
+    assert_eq!(w.answer_of(9).map(|a| a.status), Some(503));
+}
