Only a part of the accesses may name a cold member, so hundreds of fronts don't add up

Cause: cold.rs `cold_room` lets out an access whenever nothing is spent, one more for each front; `usual` is learned just after an answer and from those heard lately, so a front that sees little takes it for too much.

Now an access may name a cold member only if its own draw is under 0.5 x multiple x share: half of N on average at any count of fronts, with no word between them and no knowledge; the budget is left for surges.

--- /dev/null
+++ b/crates/cli/tests/cold.rs
@@ -0,0 +1,101 @@
+//! Twenty and thirty real processes before a cache that has just started: what comes to it from all of them together, counted
+//! there, against what acceptance allows.
+
+mod helper;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use doorgrade_standins::{Client, Directory, Feed, Member, Role, Spec, feed, unix_ms};
+use helper::start;
+
+const WINDOW_MS: u64 = 1_500;
+const COLD_MS: f64 = 17_000.0;
+const FROM: f64 = 0.16;
+const MULTIPLE: f64 = 2.0;
+/// Accesses a second for each of the three caches, over all fronts: N is 4.8 at the start.
+const EACH: f64 = 10.0;
+
+/// The highest share of N + 2 root N + 2 that came in one window, by what was allowed when it began.
+fn highest(came: &[u64], start: u64) -> f64 {
+    let mut worst = 0f64;
+    for (at, &first) in came.iter().enumerate() {
+        let count = came[at..].iter().take_while(|&&t| t < first + WINDOW_MS).count();
+        let share = FROM + (1.0 - FROM) * (first - start) as f64 / COLD_MS;
+        let n = MULTIPLE * share.min(1.0) * EACH * WINDOW_MS as f64 / 1_000.0;
+        worst = worst.max(count as f64 / (n + 2.0 * n.sqrt() + 2.0));
+    }
+    worst
+}
+
+fn many(fronts: usize) {
+    let directory = Directory::default();
+    let member = |id, role| Member::start(Spec::new(id, "127.0.0.1:0", role), &directory).unwrap();
+    let caches = ["s-00000001", "s-00000002", "s-00000003"].map(|id| member(id, Role::Cache));
+    let origin = member("s-00000020", Role::Archive);
+    let feed = Feed::start("127.0.0.1:0").unwrap();
+    let mut config = include_str!("../../../examples/config.json").replace("127.0.0.1:8080", "127.0.0.1:0");
+    let third = format!(
+        "{{\"id\": \"s-00000003\", \"host_port\": \"{}\", \"locality\": \"here\", \"flavor\": \"cache\", \"cell\": 0, \
+         \"phase\": \"in_service\", \"size\": 4, \"up_since_ms\": 0}},\n {{\"id\": \"s-00000020\"",
+        caches[2].at
+    );
+    for (from, to) in [
+        ("127.0.0.1:9101", caches[0].at.to_string()),
+        ("127.0.0.1:9102", caches[1].at.to_string()),
+        ("127.0.0.1:9120", origin.at.to_string()),
+        ("127.0.0.1:9092", feed.at.to_string()),
+        ("{\"id\": \"s-00000020\"", third),
+        ("\"fleetSize\": 1", format!("\"fleetSize\": {fronts}")),
+        ("\"crewByZone\": [1]", format!("\"crewByZone\": [{fronts}]")),
+        ("\"fallMultiple\": 4.0", format!("\"fallMultiple\": {MULTIPLE}")),
+    ] {
+        assert!(config.contains(from), "{from}");
+        config = config.replace(from, &to);
+    }
+    // Each file is read before the next is written.
+    let fronts: Vec<_> = (0..fronts)
+        .map(|n| start(&config.replace("8c1f30d27a5be964", &format!("{:016x}", n + 1)), None))
+        .collect();
+    let (stop, begun) = (AtomicBool::new(false), Instant::now());
+    let mut started = 0;
+    std::thread::scope(|scope| {
+        for (n, front) in fronts.iter().enumerate() {
+            let (stop, count) = (&stop, fronts.len() as f64);
+            scope.spawn(move || {
+                let mut rng = fastrand::Rng::with_seed(n as u64);
+                let mut client = Client::connect(front.at).unwrap();
+                while !stop.load(Ordering::SeqCst) {
+                    let pause = -(1.0 - rng.f64()).ln() * count / (3.0 * EACH);
+                    std::thread::sleep(Duration::from_secs_f64(pause.min(3.0)));
+                    let key = format!("{:016x}", rng.u64(..));
+                    let _ = client.ask("images", &key, 2_000);
+                }
+            });
+        }
+        // As long as it takes to learn what is usual, then word that one has started anew.
+        std::thread::sleep(Duration::from_secs(10).saturating_sub(begun.elapsed()));
+        started = unix_ms();
+        feed.list(2, &[feed::record("s-00000001", caches[0].at, 0, 0, 0, started)]);
+        std::thread::sleep(Duration::from_secs(10));
+        stop.store(true, Ordering::SeqCst);
+    });
+    // Told some tens of milliseconds later: what came before is not of this start.
+    let told = started + 100;
+    let came: Vec<u64> = caches[0].asked_at().into_iter().map(|a| a.0).filter(|&at| at >= told).collect();
+    let warm = caches[1].asked_at().into_iter().filter(|a| a.0 >= told).count();
+    let worst = highest(&came, started);
+    assert!(warm > 50, "{warm} came to a warm one");
+    assert!(!came.is_empty(), "it never begins");
+    assert!(worst <= 1.0, "{worst} of what is allowed came in one window: {came:?}, {started}");
+}
+
+#[test]
+fn twenty_processes_do_not_send_a_cold_cache_too_much() {
+    many(20);
+}
+
+#[test]
+fn thirty_processes_do_not_send_a_cold_cache_too_much() {
+    many(30);
+}
--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -1,51 +1,91 @@
-//! What all fronts of a zone together send a cache that has just started, against what fells it: the very decisions,
-//! in virtual time. Answers take what their work takes; nothing else goes wrong.
+//! What all fronts of a zone together send caches and parents that have just started, against what acceptance allows: the
+//! very decisions, in virtual time. Answers take what their work takes; some fail and are tried again, some miss and are
+//! filled.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
 use doorgrade::*;
-use rayon::prelude::*;
 
-use crate::{Figures, How};
-
-/// Fronts for each cache: what one carries at once is then a few accesses. Three caches at the least.
-const FRONTS_A_CACHE: usize = 6;
-const WARM_FOR: Tenths = 600_000;
+const WARM_FOR: Tenths = 300_000;
+/// The tightest that a deployment has: a multiple of 2, from a seventh or so.
 const COLD: Cold = Cold { from: 0.16, lasts: 170_000, multiple: 2.0, window: 15_000 };
-/// Accesses a second of a front, on average: many fronts, little each.
-const RATE: f64 = 3.0;
 /// A mean access, in tenths of a millisecond of sending.
 const WORK: f64 = 2_000.0;
+/// Of the accesses this share misses, and of the answers this share is an error.
+const MISSES: f64 = 0.25;
+const ERRORS: f64 = 0.03;
 
-struct Case {
-    fronts: usize,
-    /// Fronts get from a tenth to ten times the mean, and accesses too.
-    uneven: bool,
-    /// All fronts start together with the cache, and know nothing of what is usual.
-    fresh: bool,
+/// One case of the experiment.
+#[derive(Clone, Copy)]
+pub struct Case {
+    pub fronts: usize,
+    /// What the settings allow a cache that has just started in their time, in accesses of mean work.
+    pub n: f64,
+    /// Fronts get from a tenth to ten times the mean, and accesses bring from a tenth to ten times its work.
+    pub uneven: bool,
+    /// All fronts start together with the cold ones, and know nothing of what is usual.
+    pub fresh: bool,
+    /// A third of the caches start at once.
+    pub several: bool,
+    /// A parent starts at once with the cache.
+    pub parent: bool,
     /// As if nobody had a budget.
-    baseline: bool,
+    pub baseline: bool,
+}
+
+impl Case {
+    pub const PLAIN: Case = Case {
+        fronts: 1,
+        n: 2.0,
+        uneven: false,
+        fresh: false,
+        several: false,
+        parent: false,
+        baseline: false,
+    };
+
+    /// Six fronts a cache, as on the platform's full days; not so many that a run takes minutes.
+    fn caches(&self) -> usize {
+        (self.fronts / 6).clamp(3, 50)
+    }
+
+    fn parents(&self) -> usize {
+        2.max(self.caches() / 8)
+    }
+
+    /// What a warm cache carries in the settings' time, in accesses: it is taken to do no more, which is the worst case.
+    fn each(&self) -> f64 {
+        self.n / (COLD.multiple * COLD.from)
+    }
+}
+
+/// What came of a run.
+#[derive(Clone, Copy, Default)]
+pub struct Run {
+    /// The highest share of what is allowed that came to a cold cache in one window; to a cold parent.
+    pub cache: f64,
+    pub parent: f64,
+    /// What the cold caches got in their cold time against what warm ones did.
+    pub used: f64,
+    /// Of what came after the start.
+    pub declined: f64,
 }
 
 #[derive(Default)]
 struct Out {
-    pushed: Vec<(AccessId, usize)>,
-    pushes: u64,
+    pushed: Vec<(AccessId, usize, usize, bool)>,
     declined: u64,
 }
 
-impl Case {
-    fn caches(&self) -> usize {
-        (self.fronts / FRONTS_A_CACHE).max(3)
-    }
+/// Members by their places: caches, then parents, then the origin.
+fn place(id: &str) -> usize {
+    id.strip_prefix("m-").and_then(|n| n.parse().ok()).unwrap_or(usize::MAX)
 }
 
 impl Outlet for Out {
     fn push(&mut self, p: &Push<'_>) {
-        let cache = p.cache.strip_prefix("cache-").and_then(|n| n.parse().ok());
-        self.pushed.push((p.access, cache.unwrap_or(usize::MAX)));
-        self.pushes += 1;
+        self.pushed.push((p.access, place(p.cache), place(p.source), p.kept_only));
     }
     fn withdraw(&mut self, _: AccessId, _: usize) {}
     fn decline(&mut self, _: AccessId) {
@@ -68,10 +108,10 @@
         offerings: vec![Offering { soft: 10_000, stretch: 4.0, benefit: 1.0, effect, fresh, uncacheable }],
         zone: 0,
         crew: case.fronts as u32,
-        parent_kind: None,
+        parent_kind: Some(1),
         origin_kind: Some(2),
         notes: Notes::All,
-        may: Powers { joins: true, straight: true, cancels: true, second_copies: true },
+        may: Powers { joins: true, straight: false, cancels: true, second_copies: true },
         max_pushes: 4,
         weights: true,
         list_on_request: false,
@@ -83,126 +123,145 @@
     }
 }
 
-fn member(n: usize, origin: bool, started: Option<Tenths>) -> Member {
-    let (id, kind) = if !origin { (format!("cache-{n}"), 0) } else { ("origin".to_owned(), 2) };
-    let (standing, weight) = (Standing::Listed, 1.0);
-    Member { id: id.into(), zone: 0, kind, cell: 0, standing, weight, started }
+fn member(case: &Case, n: usize, started: Option<Tenths>) -> Member {
+    let (caches, parents) = (case.caches(), case.parents());
+    let kind = usize::from(n >= caches) + usize::from(n >= caches + parents);
+    let id = format!("m-{n}").into();
+    Member { id, zone: 0, kind, cell: 0, standing: Standing::Listed, weight: 1.0, started }
 }
 
-/// The highest share of what fells the cold cache that came in one window, what it got in its cold time against what
-/// a warm one carries, and the share declined after the start.
-fn play(case: &Case, seed: u64) -> (f64, f64, f64) {
+/// The highest share of what acceptance allows (N + 2 root N + 2) that came in one window, by what was allowed when the
+/// window began.
+fn highest(came: &[Tenths], start: Tenths, each: f64) -> f64 {
+    let allowed = |at: Tenths| {
+        let share = COLD.from + (1.0 - COLD.from) * (at - start) as f64 / COLD.lasts as f64;
+        let n = COLD.multiple * share.min(1.0) * each;
+        n + 2.0 * n.sqrt() + 2.0
+    };
+    let (mut first, mut worst) = (0, 0f64);
+    for (at, &t) in came.iter().enumerate() {
+        while came[first] + COLD.window <= t {
+            first += 1;
+        }
+        worst = worst.max((at + 1 - first) as f64 / allowed(came[first]));
+    }
+    worst
+}
+
+/// What happens next: to a front, an access that comes (none) or the end of a push of one.
+type Next = (Tenths, usize, Option<(AccessId, usize, u8)>);
+
+pub fn play(case: &Case, seed: u64) -> Run {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut draw = |spread: bool| if spread { 10f64.powf(2.0 * rng.f64() - 1.0) / 2.15 } else { 1.0 };
-    let rates: Vec<f64> = (0..case.fronts).map(|_| RATE * draw(case.uneven)).collect();
-    let (set, caches) = (settings(case), case.caches());
+    let (set, caches, parents) = (settings(case), case.caches(), case.parents());
+    let rate = case.each() * caches as f64 / case.fronts as f64 / (COLD.window as f64 / 10_000.0);
+    // However they are spread, all fronts together send what the caches carry.
+    let drawn: Vec<f64> = (0..case.fronts).map(|_| draw(case.uneven)).collect();
+    let part = rate * case.fronts as f64 / drawn.iter().sum::<f64>();
+    let rates: Vec<f64> = drawn.iter().map(|of| of * part).collect();
     let mut fronts: Vec<Front> = (0..case.fronts as u64).map(|n| Front::new(&set, seed << 20 | n)).collect();
-    let (mut out, mut heap) = (Out::default(), BinaryHeap::new());
-    let all: Vec<Member> = (0..=caches).map(|n| member(n, n == caches, None)).collect();
+    let (mut out, mut heap) = (Out::default(), BinaryHeap::<Reverse<Next>>::new());
+    let all: Vec<Member> = (0..=caches + parents).map(|n| member(case, n, None)).collect();
     let start = if case.fresh { 1 } else { WARM_FOR };
     fronts.iter_mut().for_each(|f| f.listed(0, &all, true, &mut out));
     let mut rng = fastrand::Rng::with_seed(seed ^ 0x5eed);
     let wait = |rng: &mut fastrand::Rng, rate: f64| (-(1.0 - rng.f64()).ln() / rate * 10_000.0) as Tenths + 1;
     for (n, rate) in rates.iter().enumerate() {
-        heap.push(Reverse((wait(&mut rng, *rate), n, u64::MAX, 0)));
+        heap.push(Reverse((wait(&mut rng, *rate), n, None)));
     }
-    heap.push(Reverse((start, usize::MAX, 0, 0)));
+    heap.push(Reverse((start, usize::MAX, None)));
+    let cold = if case.several { (caches / 3).max(2) } else { 1 };
+    let cold_parent = caches;
     let end = start + COLD.lasts;
-    let (mut id, mut came, mut warm, mut declined, mut asked) = (0, Vec::new(), 0u64, 0, 0);
-    while let Some(Reverse((now, n, access, push))) = heap.pop() {
+    let mut came = vec![Vec::new(); caches + parents + 1];
+    let (mut id, mut declined, mut asked) = (0, 0, 0);
+    while let Some(Reverse((now, n, what))) = heap.pop() {
         if now >= end {
             break;
         }
         if n == usize::MAX {
-            fronts.iter_mut().for_each(|f| f.listed(now, &[member(0, false, Some(now))], false, &mut out));
+            let also = Some(cold_parent).filter(|_| case.parent);
+            let list: Vec<_> = (0..cold).chain(also).map(|n| member(case, n, Some(now))).collect();
+            fronts.iter_mut().for_each(|f| f.listed(now, &list, false, &mut out));
             (declined, asked) = (out.declined, id);
             continue;
         }
-        if access == u64::MAX {
-            id += 1;
-            let work = WORK * if case.uneven { 10f64.powf(2.0 * rng.f64() - 1.0) / 2.15 } else { 1.0 };
-            let (object, until) = (rng.u64(..1 << 40), now + 60_000);
-            let (offering, part, group, marked) = (0, 0, 0, true);
-            let access = Access { id, offering, object, part, group, kb: work / 10.0, until, marked };
-            heap.push(Reverse((now + wait(&mut rng, rates[n]), n, u64::MAX, 0)));
-            fronts[n].access(now, &access, &mut out);
-            // How long each push takes goes with its access.
-            for (at, (access, cache)) in out.pushed.drain(..).enumerate() {
-                if cache == 0 && now >= start {
-                    came.push(now);
+        match what {
+            None => {
+                id += 1;
+                let work = WORK * if case.uneven { 10f64.powf(2.0 * rng.f64() - 1.0) / 2.15 } else { 1.0 };
+                let (object, until) = (rng.u64(..1 << 40), now + 60_000);
+                let (offering, part, group, marked) = (0, 0, 0, true);
+                let access = Access { id, offering, object, part, group, kb: work / 10.0, until, marked };
+                heap.push(Reverse((now + wait(&mut rng, rates[n]), n, None)));
+                fronts[n].access(now, &access, &mut out);
+            }
+            Some((access, push, outcome)) => {
+                let (outcome, note, settled) = match outcome {
+                    0 => (Outcome::Handled, Note::Hit, true),
+                    1 => (Outcome::Handled, Note::Filled, true),
+                    2 => (Outcome::Miss, Note::SourceLacks, false),
+                    _ => (Outcome::Error, Note::Untold, false),
+                };
+                let ended = Ended { push, outcome, settled, lag: 0, note, made: None };
+                fronts[n].ended(now, access, &ended, &mut out);
+            }
+        }
+        // Further pushes of one access come after its first.
+        let first = what.map_or(0, |(_, push, _)| push + 1);
+        for (at, (access, cache, source, kept)) in out.pushed.drain(..).enumerate() {
+            let (missed, failed) = (rng.f64() < MISSES, rng.f64() < ERRORS);
+            if now >= start {
+                came[cache].push(now);
+                if missed && source != cache && source < came.len() {
+                    came[source].push(now);
                 }
-                warm += u64::from(cache != 0 && cache < caches && now >= start);
-                heap.push(Reverse((now + work as Tenths, n, access, at)));
             }
-            continue;
+            let outcome = match (failed, missed) {
+                (true, _) => 3,
+                // A look, or a source that holds nothing.
+                (_, true) if source == cache || kept => 2,
+                (_, missed) => u8::from(missed),
+            };
+            let takes = if outcome == 2 { 10 } else { WORK as Tenths };
+            heap.push(Reverse((now + takes, n, Some((access, first + at, outcome)))));
         }
-        let note = Note::Hit;
-        let ended = Ended { push, outcome: Outcome::Handled, settled: true, lag: 0, note, made: None };
-        fronts[n].ended(now, access, &ended, &mut out);
-        out.pushed.clear();
     }
-    // What a warm one carries at once, by what all accesses need; it could do no more, which is the worst case.
-    let each = rates.iter().sum::<f64>() / caches as f64 * COLD.window as f64 / 10_000.0;
-    let allowed = |at: Tenths| {
-        let share = COLD.from + (1.0 - COLD.from) * (at - start) as f64 / COLD.lasts as f64;
-        let n = COLD.multiple * share.min(1.0) * each;
-        n + 3.0 * n.sqrt() + 3.0
+    let worst =
+        |cold: std::ops::Range<usize>, each| cold.map(|c| highest(&came[c], start, each)).fold(0.0, f64::max);
+    let got = |of: std::ops::Range<usize>| {
+        of.clone().map(|c| came[c].len()).sum::<usize>() as f64 / of.len() as f64
     };
-    let mut first = 0;
-    let mut worst = 0f64;
-    for (at, &t) in came.iter().enumerate() {
-        while came[first] + COLD.window <= t {
-            first += 1;
-        }
-        // By what was allowed when the window began.
-        worst = worst.max((at + 1 - first) as f64 / allowed(came[first]));
+    // A warm parent does no more than its part of what misses.
+    let filled = case.each() * caches as f64 * MISSES / parents as f64;
+    Run {
+        cache: worst(0..cold, case.each()),
+        parent: if case.parent { worst(cold_parent..cold_parent + 1, filled) } else { 0.0 },
+        used: got(0..cold) / got(cold..caches).max(1.0),
+        declined: (out.declined - declined) as f64 / (id - asked).max(1) as f64,
     }
-    let used = came.len() as f64 * (caches - 1) as f64 / warm.max(1) as f64;
-    (worst, used, (out.declined - declined) as f64 / (id - asked).max(1) as f64)
 }
 
-pub fn run(how: &How) -> Figures {
-    let sizes: &[usize] = if how.quick { &[1, 30, 300] } else { &[1, 6, 30, 300, 3_000] };
-    let mut figures = Figures::default();
-    for &fronts in sizes {
-        let seeds = if how.quick || fronts > 300 { 4 } else { 10 };
-        for (name, uneven, fresh, baseline) in [
-            ("even", false, false, false),
-            ("uneven", true, false, false),
-            ("fresh", true, true, false),
-            ("baseline", true, false, true),
-        ] {
-            let case = Case { fronts, uneven, fresh, baseline };
-            let all: Vec<_> =
-                (0..seeds).into_par_iter().map(|n| play(&case, how.seed.wrapping_mul(1_000) + n)).collect();
-            let worst = all.iter().map(|a| a.0).fold(0.0, f64::max);
-            let mean = |of: fn(&(f64, f64, f64)) -> f64| all.iter().map(of).sum::<f64>() / all.len() as f64;
-            figures.ratio(&format!("cold_worst_{name}_{fronts}"), worst);
-            figures.ratio(&format!("cold_used_{name}_{fronts}"), mean(|a| a.1));
-            figures.ratio(&format!("declined_{name}_{fronts}"), mean(|a| a.2));
-        }
-    }
-    figures
+/// The share, and the 95% interval around it (Wilson's, which holds at none and at all).
+pub fn share(over: usize, of: usize) -> (f64, f64, f64) {
+    let (n, z) = (of.max(1) as f64, 1.96f64);
+    let p = over as f64 / n;
+    let middle = (p + z * z / (2.0 * n)) / (1.0 + z * z / n);
+    let half = z / (1.0 + z * z / n) * (p * (1.0 - p) / n + z * z / (4.0 * n * n)).sqrt();
+    (p, (middle - half).max(0.0), (middle + half).min(1.0))
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// However traffic is spread over few fronts or many, what they send together does not fell a cold cache; without
-    /// budgets it would.
-    #[test]
-    fn fronts_do_not_fell_a_cold_cache_together() {
-        for fronts in [1, 30] {
-            for (uneven, fresh) in [(false, false), (true, false), (true, true)] {
-                let (worst, used, _) = play(&Case { fronts, uneven, fresh, baseline: false }, 7);
-                assert!(
-                    worst < 1.0 && used > 0.05,
-                    "{fronts}, {uneven}, {fresh}: {worst} of what fells it, used {used}"
-                );
-            }
-        }
-        let (worst, ..) = play(&Case { fronts: 30, uneven: true, fresh: false, baseline: true }, 7);
-        assert!(worst > 1.0, "{worst}: the rig shows a fall where nobody has a budget");
-    }
+/// The cases by name, for so many fronts and so large a budget.
+pub fn cases(fronts: usize, n: f64) -> [(&'static str, Case); 7] {
+    let case = Case { fronts, n, ..Case::PLAIN };
+    [
+        ("even", case),
+        ("uneven", Case { uneven: true, ..case }),
+        ("fresh", Case { uneven: true, fresh: true, ..case }),
+        ("several", Case { uneven: true, several: true, ..case }),
+        ("parent", Case { parent: true, ..case }),
+        ("all", Case { uneven: true, fresh: true, several: true, parent: true, ..case }),
+        ("baseline", Case { uneven: true, baseline: true, ..case }),
+    ]
 }
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,4 @@
+//! Experiments in virtual time that tests play, too.
+#![forbid(unsafe_code)]
+
+pub mod cold;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,13 +3,14 @@
 #![forbid(unsafe_code)]
 
 mod check;
-mod cold;
+mod cold_figures;
 mod config;
 mod fleet;
 mod log;
 mod returns;
 mod rig;
 mod shape;
+mod shares;
 mod sizes;
 mod soak;
 mod stream;
@@ -114,6 +115,17 @@
         #[arg(long)]
         front: Option<std::path::PathBuf>,
     },
+    /// What each class, tenant, effect and the largest objects get of one real front's answers, quiet and with faults
+    Shares {
+        #[command(flatten)]
+        how: How,
+        /// The program to measure; the one beside this by default
+        #[arg(long)]
+        front: Option<std::path::PathBuf>,
+        /// Accesses that a cache works on at once; four are too few for the load
+        #[arg(long, default_value_t = 7)]
+        places: usize,
+    },
     /// What all fronts of a zone together send a cache that has just started, against what fells it, in virtual time
     Cold {
         #[command(flatten)]
@@ -172,7 +184,8 @@
             (how, figures)
         }
         Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
-        Subject::Cold { how } => (how.clone(), Ok(cold::run(&how))),
+        Subject::Shares { how, front, places } => (how.clone(), shares::run(&how, front, places)),
+        Subject::Cold { how } => (how.clone(), Ok(cold_figures::run(&how))),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
     match figures {
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -88,10 +88,16 @@
 
     /// The request's id.
     pub fn send_access(&mut self, asked: &Asked<'_>) -> io::Result<String> {
+        self.send_sized(asked, 0.0)
+    }
+
+    /// With the size of the object, in KB.
+    pub fn send_sized(&mut self, asked: &Asked<'_>, kb: f64) -> io::Result<String> {
         static CALLS: AtomicUsize = AtomicUsize::new(1);
         let call = format!("{:016x}", unix_ms() << 16 | CALLS.fetch_add(1, Ordering::SeqCst) as u64 & 0xffff);
         let Asked { class, key, bucket, wait_ms, body } = asked;
         let (path, wait, bucket) = (format!("/do/{class}"), wait_ms.to_string(), bucket.to_string());
+        let kb = format!("{kb:.1}");
         let params = [
             ("REQUEST_METHOD", "GET"),
             ("SCRIPT_NAME", path.as_str()),
@@ -100,6 +106,7 @@
             ("HTTP_REQ_KEY", key),
             ("HTTP_X_SEG", "0"),
             ("HTTP_X_BUCKET", &bucket),
+            ("HTTP_REQ_KB", &kb),
         ];
         self.send(&params, body)?;
         Ok(call)
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -61,6 +61,13 @@
     }
 }
 
+/// The size of an object as it is told, in KB: 40 in the middle, one in forty under 8 or over 200, the same by each who asks.
+pub fn kb(key: &str) -> f64 {
+    let mut rng = fastrand::Rng::with_seed(doorgrade::hash::text(key));
+    let normal = (0..12).map(|_| rng.f64()).sum::<f64>() - 6.0;
+    40.0 * (0.82 * normal).exp()
+}
+
 /// The bytes of an object's part, which the archive knows by heart.
 pub fn object(path: &str) -> Vec<u8> {
     format!("these are the bytes of {path}\n").repeat(200).into_bytes()
--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -35,8 +35,9 @@
     pub keeps: usize,
     /// How long a copy is fresh, in milliseconds by the name of its class; until purged where it has none.
     pub fresh_ms: HashMap<String, u64>,
-    /// What an answer takes.
+    /// What an answer takes, and what it takes besides for each KB of the object.
     pub lag: Duration,
+    pub per_kb: Duration,
     pub cold: Option<Cold>,
     /// Requests that it works on at once; more are refused as full.
     pub at_once: usize,
@@ -48,7 +49,8 @@
     pub fn new(id: &str, at: &str, role: Role) -> Spec {
         let (keeps, lag, fresh_ms, cold) = (100_000, Duration::ZERO, HashMap::new(), None);
         let (at_once, tells_made) = (usize::MAX, true);
-        Spec { id: id.into(), at: at.into(), role, keeps, fresh_ms, lag, cold, at_once, tells_made }
+        let per_kb = Duration::ZERO;
+        Spec { id: id.into(), at: at.into(), role, keeps, fresh_ms, lag, per_kb, cold, at_once, tells_made }
     }
 }
 
@@ -331,7 +333,9 @@
             let faults = lock(&self.faults).clone();
             let crowded = self.works_on.fetch_add(1, SeqCst) >= self.spec.at_once;
             if !crowded {
-                std::thread::sleep(self.spec.lag + faults.slow);
+                let sends =
+                    self.spec.per_kb.mul_f64(crate::kb(head.path.split('/').nth(3).unwrap_or_default()));
+                std::thread::sleep(self.spec.lag + faults.slow + sends);
             }
             self.works_on.fetch_sub(1, SeqCst);
             if faults.reset {
--- a/src/control/access.rs
+++ b/src/control/access.rs
@@ -16,8 +16,7 @@
 impl Front {
     pub fn access(&mut self, now: Tenths, a: &Access, out: &mut dyn Outlet) {
         let class = &mut self.classes[a.offering];
-        let told = a.kb > 0.0 && self.flow > 0.0;
-        let work = if told { a.kb / self.flow } else { class.mean };
+        let work = if a.kb > 0.0 && self.flow > 0.0 { a.kb / self.flow } else { class.mean };
         class.mean += (work - class.mean) / 64.0;
         let soft_at = now + class.of.soft + (class.of.stretch * work) as Tenths;
         let density = class.of.benefit / work.max(1.0);
@@ -26,10 +25,11 @@
         let keen = (0.5 + 0.5 * density / self.density).min(1.5);
         // Further pushes are paid from a fund, so that a shared trouble can't multiply the load.
         self.spare_pushes = (self.spare_pushes + 0.2).min(20.0);
-        let (lacks, rank, renew) = self.remember(now, a);
+        let ((lacks, rank, renew), draw) = (self.remember(now, a), self.rng.f64());
         let (sent, looked, kept, held, done) = (ArrayVec::new(), false, false, false, false);
         let access = Access { until: a.until.min(self.end_by), ..*a };
-        let held = Held { access, work, soft_at, keen, lacks, rank, renew, sent, looked, kept, held, done };
+        let held =
+            Held { access, work, soft_at, keen, draw, lacks, rank, renew, sent, looked, kept, held, done };
         let place = self.held.insert(held);
         self.places.insert(a.id, place);
         self.route(now, place, out);
@@ -41,16 +41,15 @@
         if h.sent.len() >= self.max_pushes || now + self.margin >= a.until {
             return self.finish(place, out);
         }
-        let mean = self.classes[a.offering].mean;
         if self.classes[a.offering].of.uncacheable {
-            let cache = if self.may.straight { self.origin } else { self.pick_cache(now, place, mean).ok() };
+            let cache = if self.may.straight { self.origin } else { self.pick_cache(now, place).ok() };
             return match cache.filter(|&c| self.may_repeat_at(now, place, c)).zip(self.origin) {
                 Some((cache, origin)) => self.push(now, place, (cache, origin), Self::after_push, out),
                 None => self.finish(place, out),
             };
         }
         let ways = out.ways(&a, h.soft_at);
-        let named = self.pick_source(now, place, mean, &ways);
+        let named = self.pick_source(now, place, &ways);
         let (source, held) = (named.map(|n| n.0), named.is_some_and(|n| n.1));
         let through = named.and_then(|n| n.2);
         // Exception to the ordinary path: a full link in feeds on itself, since fills that come too late are
@@ -64,7 +63,7 @@
         let cold = source.is_some_and(|s| self.cold_age(now, s).is_some());
         let tight = refused || cold || filling >= 0.5;
         let full = if refused { now < self.probe_at } else { filling >= self.held[place].keen };
-        let picked = self.pick_cache(now, place, mean);
+        let picked = self.pick_cache(now, place);
         // One just started holds nothing, and a look costs as much of its budget as a fill.
         let empty = |c| self.cold_age(now, c).is_some_and(|(_, age)| age < 0.5);
         let looked = self.held[place].looked || source.is_some() && picked.is_ok_and(empty);
--- a/src/control/cold.rs
+++ b/src/control/cold.rs
@@ -32,23 +32,25 @@
         let (rates, weights) = set.iter().filter(warm).fold((0.0, 0.0), |(r, w), &o| {
             (r + self.peers[o].carries.rate(now, Self::RATE_OVER), w + self.peers[o].weight)
         });
-        if weights > 0.0 {
-            self.usual[slot] = rates / weights;
-        }
+        self.usual[slot] = if weights > 0.0 { rates / weights } else { self.usual[slot] };
     }
 
     /// What this front may send a cold member at once, in transfers: `multiple` times its present share of
     /// what such a one usually carries for it; a tenth of a transfer a zone at least, so that it can begin.
-    pub(super) fn cold_budget(&self, now: Tenths, c: usize) -> Option<(f64, Tenths)> {
+    pub(super) fn cold_budget(&self, now: Tenths, c: usize) -> Option<(f64, f64, f64)> {
         let (slot, age) = self.cold_age(now, c)?;
         let set = &self.cold[slot];
         let carries = (self.usual[slot] * self.peers[c].weight).max(0.1 / self.crew);
-        Some((set.multiple * (set.from + (1.0 - set.from) * age) * carries, set.window))
+        let share = set.multiple * (set.from + (1.0 - set.from) * age);
+        Some((share, share * carries, set.window as f64))
     }
 
-    pub(super) fn cold_room(&self, now: Tenths, c: usize, work: f64) -> bool {
-        let Some((budget, window)) = self.cold_budget(now, c) else { return true };
+    /// Hundreds of fronts that see little each can't know what is usual, and one access more of each is too
+    /// much: so only a part of the accesses may name a cold one. The budget is for surges.
+    pub(super) fn cold_room(&self, now: Tenths, c: usize, h: &Held) -> bool {
+        let Some((share, budget, window)) = self.cold_budget(now, c) else { return true };
         let level = self.peers[c].spent.left(now, Self::COLD_LEAK * budget);
-        level == 0.0 || level + work <= 0.2 * budget * window as f64
+        let fits = level == 0.0 || level + self.classes[h.access.offering].mean <= 0.2 * budget * window;
+        fits && h.draw < Self::COLD_LEAK * share
     }
 }
--- a/src/control/pick.rs
+++ b/src/control/pick.rs
@@ -17,7 +17,7 @@
 
     /// The first cache in the object's order that is well, has room, and if cold stays within its budget.
     /// Where there is none: whether a well one was merely crowded.
-    pub(super) fn pick_cache(&self, now: Tenths, place: usize, mean: f64) -> Result<usize, bool> {
+    pub(super) fn pick_cache(&self, now: Tenths, place: usize) -> Result<usize, bool> {
         let h = &self.held[place];
         let likes =
             self.caches.iter().map(|&c| &self.peers[c]).filter(|p| p.held_until <= now && p.trial == 0);
@@ -25,7 +25,7 @@
         // Overload: what can't be answered in time is turned down before it takes up what could be.
         let crowded = |c: usize| self.used(now, c) >= h.keen;
         let best = self.first(h.access.object, &self.caches, |c| {
-            if crowded(c) || !self.may_repeat_at(now, place, c) || !self.cold_room(now, c, mean) {
+            if crowded(c) || !self.may_repeat_at(now, place, c) || !self.cold_room(now, c, h) {
                 return None;
             }
             let p = &self.peers[c];
@@ -49,10 +49,10 @@
     /// failed this access, is cold and over budget, or has more out than it answers in time. Then the origin,
     /// within its own limit, so that it outlives the loss of the parents.
     /// Where ways are given: the first of them that is fit and not tried.
-    pub(super) fn pick_source(&self, now: Tenths, place: usize, mean: f64, ways: &Ways) -> Option<Source> {
+    pub(super) fn pick_source(&self, now: Tenths, place: usize, ways: &Ways) -> Option<Source> {
         let h = &self.held[place];
         if ways.given {
-            let fit = |c: usize| self.well(now, c) && self.cold_room(now, c, mean) && self.used(now, c) < 1.0;
+            let fit = |c: usize| self.well(now, c) && self.cold_room(now, c, h) && self.used(now, c) < 1.0;
             let known = |key: u64| {
                 let mut sources = self.parents.iter().copied().chain(self.origin);
                 sources.find(|&c| self.peers[c].hash == key).filter(|&c| fit(c))
@@ -72,7 +72,7 @@
             });
         }
         let best = self.first(h.access.object, &self.parents, |c| match c {
-            _ if !self.cold_room(now, c, mean) => None,
+            _ if !self.cold_room(now, c, h) => None,
             _ if h.sent.iter().any(|s| s.to.0 == c || s.to.1 == c) => Some(3),
             _ if !self.well(now, c) => Some(2),
             _ => Some(u8::from(self.used(now, c) >= 1.0)),
--- a/src/control/push.rs
+++ b/src/control/push.rs
@@ -35,7 +35,7 @@
         let fill = !uncacheable && (straight || to.0 != to.1 && (h.looked || lacks));
         self.filling.add(now, self.over, f64::from(u8::from(fill)));
         for c in hops(to) {
-            let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b.0);
+            let leak = self.cold_budget(now, c).map_or(0.0, |b| Self::COLD_LEAK * b.1);
             let p = &mut self.peers[c];
             p.out.add(now, self.over, 1.0);
             p.spent = Fading { sum: p.spent.left(now, leak) + work, at: now };
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,7 @@
     pub work: f64,
     pub soft_at: Tenths,
     pub keen: f64, // how much of a limit it may use: more, the more benefit it brings for its work
+    pub draw: f64, // which part of the accesses it is of, where only a part may do something
     pub lacks: bool,
     pub rank: u8,
     pub renew: bool,
