Settings without sense are named; terms of the field in the files touched

Need: malformed values were taken for something else in silence: a negative deadline for 0, a cold share of 7, no attempts at all. crates/settings names key, value and what is expected now; crates/front/tests/bad_input.rs plays 31 values: each is named, or served within, with every access answered and an end in order.

Renamed where touched: Finish, Door, Deaf to HalfClose, Acceptor and Listener, ListenerClosed; a linger of 0.2 s.

--- a/crates/cli/tests/closing.rs
+++ b/crates/cli/tests/closing.rs
@@ -378,3 +378,31 @@
     assert!(said.contains("20") && said.contains("32") && said.contains("ulimit -n"), "{said}");
     std::fs::remove_file(&path).unwrap();
 }
+
+/// Thirty are started together, discovery is down: nine in ten are ready within 10 s, and all within 30.
+#[test]
+fn thirty_fronts_restarted_together_are_ready_while_discovery_is_down() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = gone.local_addr().unwrap();
+    drop(gone);
+    let (_directory, [one, two, origin], _) = caches();
+    let config = config([&one.at, &two.at, &origin.at, &at], &[]);
+    let begun = Instant::now();
+    let mut took: Vec<_> = std::thread::scope(|scope| {
+        let one = || {
+            let front = start(&config, None);
+            assert!(Client::connect(front.at).unwrap().check().unwrap());
+            // All of them are up together.
+            (begun.elapsed(), front)
+        };
+        let all: Vec<_> = (0..30).map(|_| scope.spawn(one)).collect();
+        all.into_iter()
+            .map(|front| front.join().unwrap())
+            .collect::<Vec<_>>()
+            .into_iter()
+            .map(|f| f.0)
+            .collect()
+    });
+    took.sort();
+    assert!(took[26] < Duration::from_secs(10) && took[29] < Duration::from_secs(30), "{took:?}");
+}
--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -37,30 +37,30 @@
 }
 
 /// Clients' connections that hold a descriptor, counted where it is taken and given back.
-struct Held(Arc<AtomicUsize>);
+struct Descriptor(Arc<AtomicUsize>);
 
-impl Held {
-    fn new(open: &Arc<AtomicUsize>) -> Held {
+impl Descriptor {
+    fn new(open: &Arc<AtomicUsize>) -> Descriptor {
         open.fetch_add(1, Ordering::SeqCst);
-        Held(open.clone())
+        Descriptor(open.clone())
     }
 }
 
-impl Drop for Held {
+impl Drop for Descriptor {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 /// What listens, for whoever steers it.
-pub struct Door {
+pub struct Acceptor {
     pub local: SocketAddr,
     waker: WaitIoWaker,
     most: Arc<AtomicUsize>,
     shut: Arc<AtomicBool>,
 }
 
-impl Door {
+impl Acceptor {
     /// How many clients' connections there may be at once. More wait in the system's queue, until the reducer has closed
     /// one: what the feed, the caches and the ending need is never taken by clients.
     pub fn set_most(&self, most: usize) {
@@ -68,8 +68,8 @@
     }
 
     /// No more are taken in: whoever comes is refused, and another process may have the address. Told by
-    /// [`Event::Deaf`] once all that were accepted have been told.
-    pub fn shut(&self) {
+    /// [`Event::ListenerClosed`] once all that were accepted have been told.
+    pub fn close(&self) {
         if !self.shut.swap(true, Ordering::SeqCst) {
             self.waker.wakeup();
         }
@@ -82,12 +82,12 @@
     poll(&mut asked, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|ready| ready > 0)
 }
 
-/// Listens, and reports each connection as it comes up, until the door is shut.
-pub fn listen(on: SocketAddr, most: usize, events: Sender<Event>) -> std::io::Result<Door> {
+/// Listens, and reports each connection as it comes up, until the listener is closed.
+pub fn listen(on: SocketAddr, most: usize, events: Sender<Event>) -> std::io::Result<Acceptor> {
     let listener = bind(on)?;
     let local = listener.local_addr()?;
     let (most, shut) = (Arc::new(AtomicUsize::new(most)), Arc::new(AtomicBool::new(false)));
-    let door = Door { local, waker: listener.waker(), most: most.clone(), shut: shut.clone() };
+    let acceptor = Acceptor { local, waker: listener.waker(), most: most.clone(), shut: shut.clone() };
     let open = Arc::new(AtomicUsize::new(0));
     conn::spawn(move || {
         let mut next = FIRST;
@@ -105,10 +105,10 @@
             }
             match listener.accept() {
                 Ok((stream, _)) => {
-                    let (conn, events, held) = (next, events.clone(), Held::new(&open));
+                    let (conn, events, held) = (next, events.clone(), Descriptor::new(&open));
                     next += 1;
                     let (port, open) = conn::open(stream);
-                    // From here, not from its coroutine: nothing comes after the word that the door is shut.
+                    // From here, not from its coroutine: nothing comes after the word that the listener is closed.
                     let _ = events.send(Event::Accepted(conn, port));
                     conn::spawn(move || {
                         open.serve(conn, &events);
@@ -126,7 +126,7 @@
             }
         }
         drop(listener);
-        let _ = events.send(Event::Deaf);
+        let _ = events.send(Event::ListenerClosed);
     });
-    Ok(door)
+    Ok(acceptor)
 }
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -30,7 +30,7 @@
     /// Clients' connections can't be accepted: no descriptor, or no memory, is left.
     NoMeans,
     /// Nothing is listened to any more; all connections that came before have been told.
-    Deaf,
+    ListenerClosed,
     /// The operators' word to stop.
     Stop,
     /// Their word that clients are to go elsewhere, or need not any more.
@@ -49,8 +49,8 @@
     /// To be written only while nothing has come and the other side has not ended it.
     Begin(Ring),
     /// To be ended in order, unless something has come that was not told yet; or whatever has come.
-    Finish {
-        deaf: bool,
+    HalfClose {
+        discard: bool,
     },
 }
 
@@ -77,8 +77,8 @@
     /// this port is dropped. A plain close over unread bytes would reset the connection, and take with it answers that
     /// the other side has not read yet. Only while nothing is being written. Where something has come, that is told
     /// instead, and nothing is ended, unless nobody wants to hear it.
-    pub fn finish(&self, deaf: bool) {
-        self.ask(Job::Finish { deaf });
+    pub fn half_close(&self, discard: bool) {
+        self.ask(Job::HalfClose { discard });
     }
 
     /// There is one ring a direction, and one end; one whose coroutine has ended is reported closed.
@@ -143,14 +143,14 @@
 }
 
 fn pump(conn: ConnId, stream: &TcpStream, asked: &Receiver<Job>, events: &Sender<Event>) {
-    let (mut reading, mut writing, mut beginning, mut finishing) = (None, None, false, None);
+    let (mut reading, mut writing, mut beginning, mut half_closed) = (None, None, false, None);
     loop {
         loop {
             match asked.try_recv() {
                 Ok(Job::Read(ring)) => reading = Some(ring),
                 Ok(Job::Write(ring)) => writing = Some(ring),
                 Ok(Job::Begin(ring)) => (writing, beginning) = (Some(ring), true),
-                Ok(Job::Finish { deaf }) => finishing = Some(deaf),
+                Ok(Job::HalfClose { discard }) => half_closed = Some(discard),
                 Err(TryRecvError::Empty) => break,
                 Err(TryRecvError::Disconnected) => return,
             }
@@ -186,14 +186,14 @@
             }
         }
         // With its ring on the way to the reducer, something has come: whoever asked will hear of it, and ask again.
-        if finishing.take().is_some_and(|deaf: bool| deaf || reading.is_some()) && writing.is_none() {
-            return finish(stream, asked);
+        if half_closed.take().is_some_and(|discard: bool| discard || reading.is_some()) && writing.is_none() {
+            return linger(stream, asked);
         }
         stream.wait_io();
     }
 }
 
-fn finish(stream: &TcpStream, asked: &Receiver<Job>) {
+fn linger(stream: &TcpStream, asked: &Receiver<Job>) {
     if stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -24,8 +24,8 @@
 use crate::push::{Line, Pools, State};
 use clients::Client;
 use tiers::Tiers;
-use types::{Door, FINISH, SILENT, SWEEP, TOLD, Taken, Timer, UNFINISHED, UNREAD, Work};
 pub use types::{Effect, Input, Learned, Made, Most, Served};
+use types::{LINGER, Listener, SILENT, SWEEP, TOLD, Taken, Timer, UNFINISHED, UNREAD, Work};
 
 pub struct Reducer {
     front: Front,
@@ -51,7 +51,7 @@
                 feed_at: feed,
                 now,
                 phase: Phase::new(),
-                door: Door::Open,
+                listener: Listener::Open,
                 drains: false,
                 timers: Timers::default(),
                 effects: Vec::new(),
@@ -155,7 +155,7 @@
             Input::Wrote { conn, ring, failed } => self.work.line_wrote(conn, ring, failed),
             Input::Closed(conn) => self.closed(conn),
             Input::NoMeans => self.work.make_room(),
-            Input::Deaf => self.work.door = Door::Shut,
+            Input::ListenerClosed => self.work.listener = Listener::Closed,
             Input::Tick => {}
             Input::Reload(renewal) => self.work.reload(&renewal),
             Input::Recall(fills, purges) => self.recall(&fills, &purges),
@@ -193,8 +193,8 @@
             Timer::PushOver(access, push) => self.work.stop_push(access, push, Outcome::TimedOut),
             Timer::FeedConnect => self.work.connect_feed(),
             Timer::Sweep => self.sweep(),
-            Timer::Finished(conn) => {
-                let due = |c: &Client| c.finishing.is_some_and(|since| since + FINISH <= self.work.now);
+            Timer::Lingered(conn) => {
+                let due = |c: &Client| c.half_closed.is_some_and(|since| since + LINGER <= self.work.now);
                 if self.work.clients.get(&conn).is_some_and(due) {
                     self.drop_client(conn);
                 }
@@ -252,17 +252,17 @@
             return;
         }
         if !work.phase.takes(work.now) {
-            if work.door == Door::Open {
-                work.door = Door::Closing;
-                work.effects.push(Effect::ShutDoor);
+            if work.listener == Listener::Open {
+                work.listener = Listener::Closing;
+                work.effects.push(Effect::StopListening);
             }
             // Those that rest until the front ends them, too. Half a request may still become a whole one.
             let rests = |c: &Client| c.owed_nothing() && !c.intake.unfinished();
             let rest: Vec<_> = work.clients.iter().filter(|(_, c)| rests(c)).map(|(&conn, _)| conn).collect();
-            rest.into_iter().for_each(|conn| work.finish(conn));
+            rest.into_iter().for_each(|conn| work.half_close(conn));
         }
         let open = work.accesses.values().any(|t| !t.done);
-        let connected = !work.clients.is_empty() || work.door != Door::Shut;
+        let connected = !work.clients.is_empty() || work.listener != Listener::Closed;
         work.phase.advance(work.now, open, connected);
         if work.phase.gone() {
             work.effects.push(Effect::Exit);
@@ -295,7 +295,7 @@
             if self.work.clients.get(&conn).is_some_and(unread) {
                 self.drop_client(conn);
             } else {
-                self.work.finish(conn);
+                self.work.half_close(conn);
             }
         }
         self.work.unpark();
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -3,7 +3,7 @@
 use doorgrade::{Access, AccessId, Tenths};
 use rustc_hash::FxHashMap;
 
-use super::{Effect, FINISH, Reducer, Taken, Timer, Work};
+use super::{Effect, LINGER, Reducer, Taken, Timer, Work};
 use crate::answer::{Outbox, Reply};
 use crate::bounds;
 use crate::conn::ConnId;
@@ -25,7 +25,7 @@
     /// Its connection ends with what is open on it.
     pub(super) last: bool,
     /// Since when its connection has been ended from here.
-    pub(super) finishing: Option<Tenths>,
+    pub(super) half_closed: Option<Tenths>,
 }
 
 const COMPLAINTS: Tenths = 10_000;
@@ -52,7 +52,7 @@
         }
         if let Some(client) = self.work.clients.get_mut(&conn) {
             // Something had come before its connection was ended.
-            client.finishing = client.finishing.filter(|_| client.intake.deaf);
+            client.half_closed = client.half_closed.filter(|_| client.intake.deaf);
         }
         loop {
             let Some(client) = self.work.clients.get_mut(&conn) else { return };
@@ -88,7 +88,7 @@
         }
         client.last = client.intake.last;
         self.work.effects.push(Effect::Read(conn, ring));
-        self.work.finish_last(conn);
+        self.work.half_close_last(conn);
     }
 
     pub(super) fn said(&mut self, conn: ConnId, said: Said, at: Tenths) {
@@ -203,31 +203,31 @@
             return self.drop_client(conn);
         }
         work.write_client(conn);
-        work.finish_last(conn);
+        work.half_close_last(conn);
     }
 }
 
 impl Work {
     /// Ends a client's connection in order: it is closed when the other side has ended it, too, or takes too long.
-    pub(super) fn finish(&mut self, conn: ConnId) {
-        if let Some(client) = self.clients.get_mut(&conn).filter(|c| c.finishing.is_none()) {
-            client.finishing = Some(self.now);
-            self.effects.push(Effect::Finish(conn, client.intake.deaf));
-            self.timers.set(self.now + FINISH, Timer::Finished(conn));
+    pub(super) fn half_close(&mut self, conn: ConnId) {
+        if let Some(client) = self.clients.get_mut(&conn).filter(|c| c.half_closed.is_none()) {
+            client.half_closed = Some(self.now);
+            self.effects.push(Effect::HalfClose(conn, client.intake.deaf));
+            self.timers.set(self.now + LINGER, Timer::Lingered(conn));
         }
     }
 
     /// The connection was to end with what is open on it, and nothing is.
-    fn finish_last(&mut self, conn: ConnId) {
+    fn half_close_last(&mut self, conn: ConnId) {
         let over = |c: &Client| c.last && c.intake.open() == 0 && c.outbox.is_empty() && c.out.is_some();
         if self.clients.get(&conn).is_some_and(over) {
-            self.finish(conn);
+            self.half_close(conn);
         }
     }
 
     /// The one that has said nothing for the longest, if nothing is owed to it.
-    fn idle_longest(&self, finishing: bool) -> Option<ConnId> {
-        let idle = |c: &Client| c.owed_nothing() && c.finishing.is_some() == finishing;
+    fn idle_longest(&self, half_closed: bool) -> Option<ConnId> {
+        let idle = |c: &Client| c.owed_nothing() && c.half_closed.is_some() == half_closed;
         let idle = self.clients.iter().filter(|(_, c)| idle(c));
         idle.min_by_key(|&(&conn, c)| (c.idle_since(), conn)).map(|(&conn, _)| conn)
     }
@@ -255,7 +255,7 @@
         if self.clients.len() + SPARE >= self.bounds.clients
             && let Some(oldest) = self.idle_longest(false)
         {
-            self.finish(oldest);
+            self.half_close(oldest);
         }
         while self.clients.len() >= self.bounds.clients {
             if self.close_client().is_none() {
@@ -272,7 +272,7 @@
             outbox: Outbox::default(),
             accesses: FxHashMap::default(),
             last: false,
-            finishing: None,
+            half_closed: None,
         };
         self.clients.insert(conn, client);
         // What was lent is taken back, as far as it is not in use.
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -51,7 +51,7 @@
     /// Clients' connections can't be accepted for want of descriptors or memory.
     NoMeans,
     /// No client's connection comes any more.
-    Deaf,
+    ListenerClosed,
     /// Time has passed.
     Tick,
     Stop,
@@ -82,10 +82,10 @@
     Begin(ConnId, Ring),
     /// A client's connection is to be ended in order; unless something has come that was not told yet, where the last
     /// is false.
-    Finish(ConnId, bool),
+    HalfClose(ConnId, bool),
     Close(ConnId),
     /// Nobody is to be let in any more.
-    ShutDoor,
+    StopListening,
     Exit,
 }
 
@@ -99,7 +99,7 @@
     /// Once in a while: silence of the feed, idle connections, clients that do not read.
     Sweep,
     /// The other side has not ended a connection that was to be ended in order.
-    Finished(ConnId),
+    Lingered(ConnId),
     Phase,
 }
 
@@ -116,13 +116,13 @@
 pub(super) const UNFINISHED: Tenths = 24_000;
 /// How long the other side may take to end a connection that was ended here: some round trips to a client, whose
 /// requests that cross the end come again within 50 ms.
-pub(super) const FINISH: Tenths = 2_000;
+pub(super) const LINGER: Tenths = 2_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Door {
+pub(super) enum Listener {
     Open,
     Closing,
-    Shut,
+    Closed,
 }
 
 pub(super) struct Taken {
@@ -174,7 +174,7 @@
     pub(super) now: Tenths,
     pub(super) phase: Phase,
     /// Clients' connections come, may still come though nobody is to be let in, or come no more.
-    pub(super) door: Door,
+    pub(super) listener: Listener,
     /// `/check` says that it is not ready, though it serves: operators want clients to go elsewhere.
     pub(super) drains: bool,
     pub(super) timers: Timers<Timer>,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -16,7 +16,7 @@
 
 use doorgrade::Tenths;
 
-use crate::accept::{self, Door};
+use crate::accept::{self, Acceptor};
 use crate::clock::{self, Clock};
 use crate::config::{Config, Renewal};
 use crate::conn::{self, ConnId, Event, Port};
@@ -86,7 +86,7 @@
     let mut driver = Driver {
         reducer: Reducer::new(config, clock.now()),
         ports: FxHashMap::default(),
-        door: None,
+        acceptor: None,
         stop,
         came: Came::default(),
         within,
@@ -102,10 +102,10 @@
     if let Some((taken, kept)) = homes {
         driver.reducer.input(clock.now(), Input::Homes(taken, kept));
     }
-    let door = accept::listen(listen, driver.reducer.clients(), driver.events.clone())
+    let acceptor = accept::listen(listen, driver.reducer.clients(), driver.events.clone())
         .map_err(|e| format!("key 'listen': {listen}: {e}"))?;
-    tracing::info!("{name} listens on {}", door.local);
-    driver.door = Some(door);
+    tracing::info!("{name} listens on {}", acceptor.local);
+    driver.acceptor = Some(acceptor);
     driver.reducer.input(clock.now(), Input::Listening);
     let follows = kept.map(|kept| kept.follow(name, in_use, served)).transpose()?;
     let speaks = match beside {
@@ -237,7 +237,7 @@
 struct Driver {
     reducer: Reducer,
     ports: FxHashMap<ConnId, Port>,
-    door: Option<Door>,
+    acceptor: Option<Acceptor>,
     /// SIGTERM has come, and the thread that hears signals may still be reading files.
     stop: Arc<AtomicBool>,
     came: Came,
@@ -269,8 +269,8 @@
             let now = clock.now();
             self.reducer.set_ahead(clock.ahead);
             self.reducer.input(now, input);
-            if let Some(door) = &self.door {
-                door.set_most(self.reducer.clients());
+            if let Some(acceptor) = &self.acceptor {
+                acceptor.set_most(self.reducer.clients());
             }
             if let Some(taken) = self.taken.take() {
                 let _ = taken.send(());
@@ -337,7 +337,7 @@
                 Input::Closed(conn)
             }
             Event::NoMeans => Input::NoMeans,
-            Event::Deaf => Input::Deaf,
+            Event::ListenerClosed => Input::ListenerClosed,
             Event::Stop => Input::Stop,
             Event::Drain(on) => Input::Drain(on),
             Event::Recall(fills, purges) => Input::Recall(fills, purges),
@@ -373,13 +373,13 @@
                         port.begin(ring);
                     }
                 }
-                Effect::Finish(conn, deaf) => {
+                Effect::HalfClose(conn, discard) => {
                     if let Some(port) = self.ports.get(&conn) {
-                        port.finish(deaf);
+                        port.half_close(discard);
                     }
                 }
                 Effect::Close(conn) => drop(self.ports.remove(&conn)),
-                Effect::ShutDoor => self.door.iter().for_each(Door::shut),
+                Effect::StopListening => self.acceptor.iter().for_each(Acceptor::close),
                 Effect::Exit => return true,
             }
         }
--- /dev/null
+++ b/crates/front/tests/bad_input.rs
@@ -0,0 +1,82 @@
+//! Settings and site values that make no sense: a clear error that names the key, or served within it. Never a panic, never
+//! an access without its answer.
+
+mod helper;
+
+use doorgrade_front::config::Config;
+use helper::*;
+
+const MS: u64 = 10;
+
+/// Every connection comes up, every request is answered; time passes; then the front ends.
+fn plays(from: &str, to: &str) {
+    let mut w = World::changed(3, 128, from, to);
+    let client = w.client();
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    for call in 1..60 {
+        w.ask(client, 1 + (call % 30) as u16, call, (call % 4) as usize, call % 7, 900);
+        if call == 30 {
+            // A cache starts anew, cold.
+            w.feed(&frame(2, 2, &listed(1, 9101, 0, 0, w.now / 10)));
+        }
+        for _ in 0..6 {
+            w.connecting().into_iter().for_each(|conn| w.connected(conn));
+            w.working().into_iter().for_each(|conn| w.reply(conn, 200, false, "h"));
+        }
+        w.pass(20 * MS);
+    }
+    w.pass(2_000 * MS);
+    assert!(w.open_calls().is_empty(), "{to}: an access without its answer");
+    w.input(doorgrade_front::reducer::Input::Stop);
+    w.pass(7_000 * MS);
+    assert!(w.exited, "{to}: it does not end");
+}
+
+#[test]
+fn values_without_sense_are_served_within_or_named() {
+    for (from, to, key) in [
+        // Cold budgets, of nothing and without end.
+        ("\"fallMultiple\":4.0", "\"fallMultiple\":0.0", None),
+        ("\"fallMultiple\":4.0", "\"fallMultiple\":-1.0", Some("rules.fallMultiple")),
+        ("\"startCapacity\":0.16", "\"startCapacity\":0.0", None),
+        ("\"startCapacity\":0.16", "\"startCapacity\":7.0", Some("rules.startCapacity")),
+        ("\"fall\":1500.0", "\"fall\":0.0", None),
+        ("\"cold\":17000.0", "\"cold\":0.0", None),
+        ("\"cold\":17000.0", "\"cold\":1e300", None),
+        ("\"cold\":17000.0", "\"cold\":-5.0", Some("rules.cold")),
+        ("\"parentColdFrom\":0.1", "\"parentColdFrom\":-0.1", Some("specifics.parentColdFrom")),
+        // Deadlines of nothing, and over any limit.
+        ("\"deadline\":2000.0", "\"deadline\":0.0", None),
+        ("\"deadline\":2000.0", "\"deadline\":1e300", None),
+        ("\"deadline\":2000.0", "\"deadline\":-1.0", Some("profiles[0].deadline")),
+        ("\"aim\":400.0", "\"aim\":0.0", None),
+        ("\"aim\":400.0", "\"aim\":-3.0", Some("profiles[0].aim")),
+        ("\"worth\":1.0", "\"worth\":0.0", None),
+        ("\"worth\":1.0", "\"worth\":-1.0", Some("profiles[0].worth")),
+        ("\"repeatWindow\":1000.0", "\"repeatWindow\":0.0", None),
+        ("\"streamKbPerS\":9100.0", "\"streamKbPerS\":0.0", None),
+        ("\"streamKbPerS\":9100.0", "\"streamKbPerS\":-4.0", Some("specifics.streamKbPerS")),
+        ("\"maxAttempts\":6", "\"maxAttempts\":0", Some("limits.maxAttempts")),
+        ("\"maxAttempts\":6", "\"maxAttempts\":1000000", None),
+        ("\"connIdle\":15000.0", "\"connIdle\":0.0", None),
+        ("\"crewByZone\":[1]", "\"crewByZone\":[0]", None),
+        ("\"purgeDone\":6000.0", "\"purgeDone\":0.0", None),
+        ("\"quantum\":2.0", "\"quantum\":0.0", None),
+        ("\"quantum\":2.0", "\"quantum\":1e9", None),
+        // What nobody knows.
+        ("\"semantics\":\"guarded\"", "\"semantics\":\"perhaps\"", Some("semantics")),
+        ("\"group\":\"zone\"", "\"group\":\"town\"", Some("group")),
+        ("\"zone\":0,\"fleetSize\"", "\"zone\":9,\"fleetSize\"", Some("settings.zone")),
+        ("\"connectTimeout\":400.0", "\"connectTimeout\":0.0", Some("settings.limits.connectTimeout")),
+        ("\"sockets\":128", "\"sockets\":16", Some("limits.sockets")),
+    ] {
+        let text = config(128);
+        assert!(text.contains(from), "{from}");
+        match (Config::read(&text.replacen(from, to, 1), None, None), key) {
+            (Err(said), Some(key)) => assert!(said.contains(key), "{to}: '{said}' does not name {key}"),
+            (Err(said), None) => panic!("{to}: {said}"),
+            (Ok(_), Some(key)) => panic!("{to}: taken, where an error is to name {key}"),
+            (Ok(_), None) => plays(from, to),
+        }
+    }
+}
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -316,20 +316,23 @@
                 self.understand(conn);
                 self.input(Input::Wrote { conn, ring, failed: false });
             }
-            Effect::Finish(conn, deaf) => {
+            Effect::HalfClose(conn, discard) => {
                 let Some(c) = self.conns.get(&conn) else { return };
                 let told = c.owed.is_empty() && c.reading.is_some();
-                if !deaf && !told {
+                if !discard && !told {
                     return;
                 }
                 let open = |t: &&Taken| t.client == conn && t.answer.is_none() && !t.aborted;
-                assert!(deaf || self.taken.values().find(open).is_none(), "rule 1: ended before its answer");
+                assert!(
+                    discard || self.taken.values().find(open).is_none(),
+                    "rule 1: ended before its answer"
+                );
                 if !self.resting.contains(&conn) {
                     self.conns.remove(&conn);
                     self.input(Input::Closed(conn));
                 }
             }
-            Effect::ShutDoor => self.input(Input::Deaf),
+            Effect::StopListening => self.input(Input::ListenerClosed),
             Effect::Close(conn) => {
                 let gone = self.conns.remove(&conn);
                 self.left_unread = gone.as_ref().map_or(0, |c| c.owed.len());
--- a/crates/front/tests/reducer.rs
+++ b/crates/front/tests/reducer.rs
@@ -405,6 +405,30 @@
     }
 }
 
+/// The feed falls silent in the middle of a frame: what came of it is forgotten, and the new connection has it whole.
+#[test]
+fn a_feed_that_falls_silent_in_a_frame_is_made_anew_and_heard_from_its_start() {
+    let mut w = World::new(1, 128);
+    w.connecting().into_iter().for_each(|conn| w.connected(conn));
+    let first = w.to_port(9092).expect("the feed is followed");
+    let gone = frame(2, 2, &[listed(1, 9101, 2, 0, 0), listed(2, 9102, 2, 0, 0)].concat());
+    w.feed(&gone[..30]);
+    w.pass(3_000 * MS);
+    assert_ne!(w.to_port(9092), Some(first));
+    let new: Vec<_> = w.connecting().into_iter().filter(|&c| w.to(c) == 9092).collect();
+    w.connected(new[0]);
+    assert_eq!(w.written(new[0]), 1u64.to_be_bytes(), "it goes on from the last whole event");
+    w.feed(&gone);
+    let client = w.client();
+    for call in 1..20 {
+        w.ask(client, 1, call, 1, call, 1_000);
+        let asked: Vec<_> = w.connecting().into_iter().map(|c| w.to(c)).collect();
+        assert!(!asked.contains(&9101) && !asked.contains(&9102), "{asked:?}");
+        serve(&mut w);
+        assert_eq!(w.answer_of(call).map(|a| a.status), Some(200));
+    }
+}
+
 #[test]
 fn an_event_seen_already_is_skipped() {
     let mut w = World::new(1, 128);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -160,10 +160,56 @@
     format!("{what}: unknown value '{value}'")
 }
 
+/// Figures that make no sense are named, with what is expected. Nothing is taken for something else in silence.
+fn check(boot: &Boot) -> Result<(), String> {
+    let (rules, own, limits) = (&boot.rules, &boot.specifics, &boot.limits);
+    let within = |key: &str, value: f64, most: f64| match (0.0..=most).contains(&value) {
+        true => Ok(()),
+        false if most == 1.0 => Err(format!("{key}: {value} is not from 0 to 1")),
+        false => Err(format!("{key}: {value} is not 0 or more")),
+    };
+    for (n, p) in boot.profiles.iter().enumerate() {
+        let figures = [
+            ("aim", p.aim),
+            ("aimStretch", p.aim_stretch),
+            ("deadline", p.deadline),
+            ("repeatWindow", p.repeat_window),
+            ("worth", p.worth),
+        ];
+        for (key, value) in figures {
+            within(&format!("profiles[{n}].{key}"), value, f64::MAX)?;
+        }
+    }
+    for (n, &age) in own.max_age.iter().enumerate() {
+        within(&format!("specifics.maxAge[{n}]"), age, f64::MAX)?;
+    }
+    for (key, value) in [
+        ("quantum", boot.quantum),
+        ("limits.connIdle", limits.conn_idle),
+        ("limits.connectTimeout", limits.connect_timeout),
+        ("rules.cold", rules.cold),
+        ("rules.fall", rules.fall),
+        ("rules.fallMultiple", rules.fall_multiple),
+        ("specifics.parentCold", own.parent_cold),
+        ("specifics.parentLimitFactor", own.parent_limit_factor),
+        ("specifics.purgeDone", own.purge_done),
+        ("specifics.streamKbPerS", own.stream_kb_per_s),
+    ] {
+        within(key, value, f64::MAX)?;
+    }
+    within("rules.startCapacity", rules.start_capacity, 1.0)?;
+    within("specifics.parentColdFrom", own.parent_cold_from, 1.0)?;
+    if limits.max_attempts == 0 {
+        return Err("limits.maxAttempts: 0 is not 1 or more".into());
+    }
+    Ok(())
+}
+
 /// Reads the settings, or says in plain words which key is at fault.
 pub fn read(text: &str) -> Result<Told, String> {
     let mut json = serde_json::Deserializer::from_str(text);
     let boot: Boot = serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
+    check(&boot)?;
     let own = &boot.specifics;
     let mut offerings = Vec::with_capacity(boot.profiles.len());
     for (at, p) in boot.profiles.iter().enumerate() {
