--- a/crates/cli/tests/closing.rs
+++ b/crates/cli/tests/closing.rs
@@ -8,6 +8,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::os::unix::process::ExitStatusExt;
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use doorgrade_standins::client::Asked;
@@ -406,3 +407,39 @@
     took.sort();
     assert!(took[26] < Duration::from_secs(10) && took[29] < Duration::from_secs(30), "{took:?}");
 }
+
+/// Clients send bodies without end, and go on after they were told that it is too much.
+#[test]
+fn clients_that_send_without_end_keep_nobody_from_being_served() {
+    let (_directory, [one, two, origin], feed) = caches();
+    let front = start(&config([&one.at, &two.at, &origin.at, &feed.at], &[]), None);
+    let (stop, ends) = (AtomicBool::new(false), AtomicUsize::new(0));
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                while !stop.load(Ordering::SeqCst) {
+                    let Ok(mut raw) = TcpStream::connect(front.at) else { continue };
+                    let begin =
+                        [&[1u8, 1, 0, 1, 0, 8, 0, 0, 0, 1, 1, 0, 0, 0, 0, 0][..], &[1, 4, 0, 1, 0, 0, 0, 0]]
+                            .concat();
+                    let piece = [&[1u8, 5, 0, 1, 0x40, 0, 0, 0][..], &[7; 0x4000]].concat();
+                    let _ = raw.write_all(&begin);
+                    while raw.write_all(&piece).is_ok() && !stop.load(Ordering::SeqCst) {}
+                    ends.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+        }
+        let mut slowest = Duration::ZERO;
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_secs(3) || ends.load(Ordering::SeqCst) < 8 {
+            assert!(begun.elapsed() < SOON, "their connections are not ended");
+            let asked = Instant::now();
+            let mut client = Client::connect(front.at).unwrap();
+            assert!(client.check().unwrap());
+            assert!(client.ask("images", KEY, 2_000).unwrap().0.starts_with("Status: 200"));
+            slowest = slowest.max(asked.elapsed());
+        }
+        stop.store(true, Ordering::SeqCst);
+        assert!(slowest < Duration::from_secs(1), "{slowest:?} for one access");
+    });
+}
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -197,22 +197,22 @@
     if stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
-    let mut dropped = Ring::new(512);
+    let mut dropped = Ring::new(2_048);
     loop {
         // Its port is dropped when its time is up; jobs are no longer done.
         while let Ok(_late) = asked.try_recv() {}
         if matches!(asked.try_recv(), Err(TryRecvError::Disconnected)) {
             return;
         }
-        loop {
-            dropped.clear();
-            match read(stream, &mut dropped) {
-                Ok(()) => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => return,
+        dropped.clear();
+        match read(stream, &mut dropped) {
+            // Whoever sends without end must not keep the one worker from all others.
+            Ok(()) => may::coroutine::yield_now(),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                stream.wait_io();
             }
+            Err(_) => return,
         }
-        stream.wait_io();
     }
 }
 
