What happens before the front listens closes no listener; a missing limit has its default

Seen: tests dark.rs failed ("order 1: failed: n0, n1, n2, n3"), fronts with memory on listened and accepted nobody. Cause: reducer.rs `advance` took "not serving" for "leaving"; memory told before the front listens (recall, off on the platform) asked for the listener's close, from on. Settings: where `limits` was there without a key, the key counted as 0 (no attempts, idle 0), not as its default; the same now.

--- a/crates/cli/tests/closing.rs
+++ b/crates/cli/tests/closing.rs
@@ -7,42 +7,14 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::os::unix::process::ExitStatusExt;
-use std::process::{Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use doorgrade_standins::client::Asked;
 use doorgrade_standins::{Client, Directory, Feed, Held, Member, Role, Spec, object, unix_ms};
+use helper::forced::{KEY, SOON, caches, config, ended};
 use helper::{Front, start, until};
 
-const SOON: Duration = Duration::from_secs(20);
-const KEY: &str = "7f3a9c21e0b4d655";
-
-/// The example's configuration with these in the places of its two caches, its archive and its feed.
-fn config(at: [&dyn std::fmt::Display; 4], changes: &[(&str, &str)]) -> String {
-    let mut config = include_str!("../../../examples/config.json").replace("127.0.0.1:8080", "127.0.0.1:0");
-    for (from, to) in ["9101", "9102", "9120", "9092"].into_iter().zip(at) {
-        config = config.replace(&format!("127.0.0.1:{from}"), &to.to_string());
-    }
-    for (from, to) in changes {
-        assert!(config.contains(from), "{from}");
-        config = config.replace(from, to);
-    }
-    config
-}
-
-/// The front has ended by itself; how.
-fn ended(front: &mut Front, within: Duration) -> std::process::ExitStatus {
-    let begun = Instant::now();
-    loop {
-        if let Some(status) = front.process.try_wait().unwrap() {
-            return status;
-        }
-        assert!(begun.elapsed() < within, "it has not ended in {within:?}: {:#?}", front.log());
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 fn order(key: &str) -> Asked<'_> {
     Asked { class: "orders", key, bucket: 17, wait_ms: 2_500, body: b"a write" }
 }
@@ -169,17 +141,6 @@
     (client, raw)
 }
 
-fn caches() -> (Directory, [Member; 3], Feed) {
-    let directory = Directory::default();
-    let member = |id, role| Member::start(Spec::new(id, "127.0.0.1:0", role), &directory).unwrap();
-    let members = [
-        member("s-00000001", Role::Cache),
-        member("s-00000002", Role::Cache),
-        member("s-00000020", Role::Archive),
-    ];
-    (directory, members, Feed::start("127.0.0.1:0").unwrap())
-}
-
 /// The front sleeps over the time until which it takes accesses. A request has come meanwhile on a connection on which
 /// an answer lies that its client has not read yet.
 #[test]
@@ -282,164 +243,3 @@
     drop(pipe);
     std::fs::remove_file(&front.config).unwrap();
 }
-
-/// The process that had the address before goes only after some seconds.
-#[test]
-fn a_start_waits_for_an_address_that_is_still_in_use() {
-    let (_directory, [one, two, origin], feed) = caches();
-    let before = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = before.local_addr().unwrap().to_string();
-    let config = config(
-        [&one.at, &two.at, &origin.at, &feed.at],
-        &[("\"listen\": \"127.0.0.1:0\"", &format!("\"listen\": \"{at}\""))],
-    );
-    let leaves = std::thread::spawn(move || {
-        // Longer than the 3.7 s that a front may take to end.
-        std::thread::sleep(Duration::from_millis(4_000));
-        drop(before);
-    });
-    let front = start(&config, None);
-    assert_eq!(front.at.to_string(), at);
-    assert!(Client::connect(front.at).unwrap().check().unwrap());
-    leaves.join().unwrap();
-}
-
-/// While discovery is down clients fill the descriptors to the last; then it is back, and all goes on.
-#[test]
-fn idle_clients_cannot_take_the_descriptors_of_feed_and_caches() {
-    // The machine's own limit is lower than what the configuration says, or the same.
-    for (told, machine) in [(1_024, 64), (64, 64), (64, 1_024)] {
-        let (_directory, [one, two, origin], _) = caches();
-        let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let at = gone.local_addr().unwrap();
-        drop(gone);
-        let sockets = format!("\"sockets\": {told}");
-        let config = config([&one.at, &two.at, &origin.at, &at], &[("\"sockets\": 1024", &sockets)]);
-        let front = helper::start_with(&config, None, Some(machine));
-        let fds = format!("/proc/{}/fd", front.process.id());
-        let open = || std::fs::read_dir(&fds).unwrap().count();
-        let mut most = open();
-        let mut idle = Vec::new();
-        for _ in 0..200 {
-            idle.extend(TcpStream::connect(front.at));
-            most = most.max(open());
-        }
-        let feed = Feed::start(&at.to_string()).unwrap();
-        let back = Instant::now();
-        until("the feed is followed", || {
-            most = most.max(open());
-            !feed.begun().is_empty()
-        });
-        // Its usual time: it is asked anew after a second at the most.
-        assert!(back.elapsed() < Duration::from_millis(1_600), "{:?}", back.elapsed());
-        let begun = Instant::now();
-        for number in 0..100 {
-            let mut client = Client::connect(front.at).unwrap();
-            assert!(client.check().unwrap(), "{number}");
-            let (head, _) = client.ask("images", &format!("{number:016x}"), 2_000).unwrap();
-            assert!(head.starts_with("Status: 200"), "{number}: {head}");
-            idle.extend(TcpStream::connect(front.at));
-            most = most.max(open());
-        }
-        // Each newcomer finds its place at once: 100 of them, and as many idle ones.
-        assert!(begun.elapsed() < Duration::from_secs(5), "{:?} for 100", begun.elapsed());
-        assert!(most <= 64, "{most} descriptors of 64 ({told} told, {machine} by the machine)");
-        let told = front.log();
-        assert!(!told.iter().any(|l| l.contains("no descriptor or memory left")), "{told:#?}");
-    }
-}
-
-#[test]
-fn a_descriptor_limit_too_small_to_serve_ends_the_start_with_what_to_do() {
-    let config = config([&"127.0.0.1:1"; 4], &[]);
-    let path = std::env::temp_dir().join(format!("doorgrade-few-{}.json", std::process::id()));
-    std::fs::write(&path, config).unwrap();
-    let line = format!("ulimit -n 20; exec {}", env!("CARGO_BIN_EXE_doorgrade"));
-    let mut process = Command::new("sh")
-        .args(["-c", &line])
-        .env("PROXY_CONFIG", &path)
-        .env("DOORGRADE_SETTINGS", "/dev/null")
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let begun = Instant::now();
-    let status = loop {
-        match process.try_wait().unwrap() {
-            Some(status) => break status.code(),
-            None if begun.elapsed() > SOON => {
-                process.kill().unwrap();
-                break None;
-            }
-            None => std::thread::sleep(Duration::from_millis(5)),
-        }
-    };
-    let mut said = String::new();
-    process.stderr.take().unwrap().read_to_string(&mut said).unwrap();
-    assert_eq!(status, Some(1), "{said}");
-    assert!(said.contains("20") && said.contains("32") && said.contains("ulimit -n"), "{said}");
-    std::fs::remove_file(&path).unwrap();
-}
-
-/// Thirty are started together, discovery is down: nine in ten are ready within 10 s, and all within 30.
-#[test]
-fn thirty_fronts_restarted_together_are_ready_while_discovery_is_down() {
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = gone.local_addr().unwrap();
-    drop(gone);
-    let (_directory, [one, two, origin], _) = caches();
-    let config = config([&one.at, &two.at, &origin.at, &at], &[]);
-    let begun = Instant::now();
-    let mut took: Vec<_> = std::thread::scope(|scope| {
-        let one = || {
-            let front = start(&config, None);
-            assert!(Client::connect(front.at).unwrap().check().unwrap());
-            // All of them are up together.
-            (begun.elapsed(), front)
-        };
-        let all: Vec<_> = (0..30).map(|_| scope.spawn(one)).collect();
-        all.into_iter()
-            .map(|front| front.join().unwrap())
-            .collect::<Vec<_>>()
-            .into_iter()
-            .map(|f| f.0)
-            .collect()
-    });
-    took.sort();
-    assert!(took[26] < Duration::from_secs(10) && took[29] < Duration::from_secs(30), "{took:?}");
-}
-
-/// Clients send bodies without end, and go on after they were told that it is too much.
-#[test]
-fn clients_that_send_without_end_keep_nobody_from_being_served() {
-    let (_directory, [one, two, origin], feed) = caches();
-    let front = start(&config([&one.at, &two.at, &origin.at, &feed.at], &[]), None);
-    let (stop, ends) = (AtomicBool::new(false), AtomicUsize::new(0));
-    std::thread::scope(|scope| {
-        for _ in 0..4 {
-            scope.spawn(|| {
-                while !stop.load(Ordering::SeqCst) {
-                    let Ok(mut raw) = TcpStream::connect(front.at) else { continue };
-                    let begin =
-                        [&[1u8, 1, 0, 1, 0, 8, 0, 0, 0, 1, 1, 0, 0, 0, 0, 0][..], &[1, 4, 0, 1, 0, 0, 0, 0]]
-                            .concat();
-                    let piece = [&[1u8, 5, 0, 1, 0x40, 0, 0, 0][..], &[7; 0x4000]].concat();
-                    let _ = raw.write_all(&begin);
-                    while raw.write_all(&piece).is_ok() && !stop.load(Ordering::SeqCst) {}
-                    ends.fetch_add(1, Ordering::SeqCst);
-                }
-            });
-        }
-        let mut slowest = Duration::ZERO;
-        let begun = Instant::now();
-        while begun.elapsed() < Duration::from_secs(3) || ends.load(Ordering::SeqCst) < 8 {
-            assert!(begun.elapsed() < SOON, "their connections are not ended");
-            let asked = Instant::now();
-            let mut client = Client::connect(front.at).unwrap();
-            assert!(client.check().unwrap());
-            assert!(client.ask("images", KEY, 2_000).unwrap().0.starts_with("Status: 200"));
-            slowest = slowest.max(asked.elapsed());
-        }
-        stop.store(true, Ordering::SeqCst);
-        assert!(slowest < Duration::from_secs(1), "{slowest:?} for one access");
-    });
-}
--- a/crates/cli/tests/helper/mod.rs
+++ b/crates/cli/tests/helper/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod control;
 pub mod fleet;
+pub mod forced;
 
 use std::io::{BufRead, BufReader, Read};
 use std::path::Path;
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -248,7 +248,8 @@
 
     fn advance(&mut self) {
         let work = &mut self.work;
-        if work.phase.serving() {
+        // Before it serves something may have happened, too: what was remembered is told.
+        if work.phase.end_by().is_none() {
             return;
         }
         if !work.phase.takes(work.now) {
--- a/crates/front/tests/bad_input.rs
+++ b/crates/front/tests/bad_input.rs
@@ -6,8 +6,6 @@
 use doorgrade_front::config::Config;
 use helper::*;
 
-const MS: u64 = 10;
-
 /// Every connection comes up, every request is answered; time passes; then the front ends.
 fn plays(from: &str, to: &str) {
     let mut w = World::changed(3, 128, from, to);
@@ -58,7 +56,9 @@
         ("\"streamKbPerS\":9100.0", "\"streamKbPerS\":-4.0", Some("specifics.streamKbPerS")),
         ("\"maxAttempts\":6", "\"maxAttempts\":0", Some("limits.maxAttempts")),
         ("\"maxAttempts\":6", "\"maxAttempts\":1000000", None),
+        ("\"maxAttempts\":6", "\"unheardOf\":6", None),
         ("\"connIdle\":15000.0", "\"connIdle\":0.0", None),
+        ("\"connIdle\":15000.0", "\"connPause\":1.0", None),
         ("\"crewByZone\":[1]", "\"crewByZone\":[0]", None),
         ("\"purgeDone\":6000.0", "\"purgeDone\":0.0", None),
         ("\"quantum\":2.0", "\"quantum\":0.0", None),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -50,7 +50,7 @@
     worth: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Limits {
     cancel: bool,
@@ -96,12 +96,7 @@
             quantum: 1.0,
             registry_mode: "automatic".into(),
             weight_kind: "silent".into(),
-            limits: Limits {
-                max_attempts: 1,
-                conn_idle: 5_000.0,
-                connect_timeout: 1_000.0,
-                ..Limits::default()
-            },
+            limits: Limits::default(),
             localities: Vec::new(),
             machine_types: Vec::new(),
             rules: Rules::default(),
@@ -110,6 +105,19 @@
     }
 }
 
+/// The same for a key that is missing as for all of them.
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            cancel: false,
+            conn_idle: 5_000.0,
+            connect_timeout: 1_000.0,
+            max_attempts: 1,
+            second_copies: false,
+        }
+    }
+}
+
 impl Default for Profile {
     fn default() -> Self {
         Profile {
