--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -17,8 +17,8 @@
 pub const FIRST: ConnId = 1 << 63;
 
 /// The front that had the address before may still be on its way out: it ends within the longest hard limit (3 s at the
-/// most) and 0.7 s; a supervisor may take as long again to end it. Under the 30 s in which a front is to be ready.
-const TRIES: usize = 200;
+/// most) and 0.7 s. Half as long again; whoever waits for this start is to hear of an address that stays taken.
+const TRIES: usize = 60;
 const BETWEEN: Duration = Duration::from_millis(100);
 
 fn bind(on: SocketAddr) -> std::io::Result<TcpListener> {
