The draw is for cold caches alone; cold parents keep to their budgets

Cause: cold.rs `cold_room` drew for parents, too, and what the draw turned away went past them to the archive.

--- a/src/control/cold.rs
+++ b/src/control/cold.rs
@@ -46,11 +46,11 @@
     }
 
     /// Hundreds of fronts that see little each can't know what is usual, and one access more of each is too
-    /// much: so only a part of the accesses may name a cold one. The budget is for surges.
+    /// much: so only a part of the accesses may name a cold cache. The budget is for surges.
     pub(super) fn cold_room(&self, now: Tenths, c: usize, h: &Held) -> bool {
         let Some((share, budget, window)) = self.cold_budget(now, c) else { return true };
         let level = self.peers[c].spent.left(now, Self::COLD_LEAK * budget);
         let fits = level == 0.0 || level + self.classes[h.access.offering].mean <= 0.2 * budget * window;
-        fits && h.draw < Self::COLD_LEAK * share
+        fits && (self.peers[c].role == Role::Parent || h.draw < Self::COLD_LEAK * share)
     }
 }
