docs/CAPACITY.md: how the target's size is carried, rendered from data, held to runs

'doorgrade-lab capacity render' makes the page of it and of docs/capacity.md.template (minijinja, so that prose names figures and doesn't repeat them); 'capacity check FILE' says which lines a run's figures contradict, by name, and exits with 3.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,4 +1,5 @@
 //! Experiments in virtual time that tests play, too.
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod cold;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -15,9 +15,12 @@
 mod soak;
 mod stream;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use doorgrade_lab::capacity::Trouble;
+use doorgrade_lab::capacity::command::{self, Files};
 use serde_json::{Map, Value};
 
 #[derive(Parser)]
@@ -131,6 +134,11 @@
         #[command(flatten)]
         how: How,
     },
+    /// The size to carry: the page of what each part costs, and whether a run bears it out
+    Capacity {
+        #[command(subcommand)]
+        what: Capacity,
+    },
     /// What a line of the log costs at a level that is off, and on
     Log {
         #[command(flatten)]
@@ -138,6 +146,23 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Capacity {
+    /// Writes CAPACITY.md from its data and its template
+    Render {
+        /// The folder with all three
+        #[arg(long, default_value = command::DOCS)]
+        docs: PathBuf,
+    },
+    /// Says which lines of the page the figures of a run contradict; exits with 3 if any
+    Check {
+        /// What `scale --data FILE` wrote
+        file: PathBuf,
+        #[arg(long, default_value = command::DOCS)]
+        docs: PathBuf,
+    },
+}
+
 /// Named figures, in the order in which they are to be read.
 #[derive(Default)]
 pub struct Figures(Map<String, Value>);
@@ -161,8 +186,38 @@
     }
 }
 
+/// Of a page that a run contradicts; as `doorgrade`'s commands have it for what is not as it should be.
+const OUT_OF_DATE: u8 = 3;
+
+fn capacity(what: Capacity) -> Result<ExitCode, Trouble> {
+    match what {
+        Capacity::Render { docs } => Files::in_folder(&docs).render().map(|()| ExitCode::SUCCESS),
+        Capacity::Check { file, docs } => {
+            let came = Files::in_folder(&docs).check(&file)?;
+            came.out_of_date.iter().for_each(|line| println!("{line}"));
+            let (held, out) = (came.held.len(), came.out_of_date.len());
+            println!("{held} lines hold, {out} are out of date");
+            for (what, names) in [
+                ("not on the page as measured", &came.not_on_page),
+                ("on the page, not in this run", &came.not_in_run),
+            ] {
+                if !names.is_empty() {
+                    println!("{what}: {}", names.join(", "));
+                }
+            }
+            Ok(if out == 0 { ExitCode::SUCCESS } else { ExitCode::from(OUT_OF_DATE) })
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let (how, figures) = match Cli::parse().subject {
+        Subject::Capacity { what } => {
+            return capacity(what).unwrap_or_else(|why| {
+                eprintln!("doorgrade-lab: {why}");
+                ExitCode::FAILURE
+            });
+        }
         Subject::Shape { how, front, logs, timeline } => {
             (how.clone(), shape::run(&how, front, logs, timeline))
         }
