A scale run with a budget of the machine, slopes by least squares, and their file format

Need: slopes of each role's cost over N, from four sizes and three seeds, with interval and residual, by a run that takes no more than 300 processes and 12 GB and says so where it would.

Change: `doorgrade-lab scale` with the parts service, members, front-state and rollouts, which are empty yet (each says `NAME_measured false`). Options are read and checked before anything starts; a budget is checked before each start and by a thread each 50 ms; at a signal or over a bound the run's processes are killed by their numbers and its files removed. Fits by nalgebra and Student's t of statrs, with a verdict flat, linear or worse. `capacity::Entry` is one line of docs/capacity.json. The rig and the figures move to the library, as they are, so that tests and parts reach them.

--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`data`]: what the file holds, and what is refused; [`arithmetic`]: cells, ratios and budgets worked out of it.
 //! - [`page`]: the page; [`show`]: how a figure is written.
+//! - [`run`]: what a run of `scale` writes with `--data`.
 //! - [`check`]: which lines of the page a run contradicts.
 
 pub mod arithmetic;
@@ -10,6 +11,7 @@
 pub mod command;
 pub mod data;
 pub mod page;
+pub mod run;
 pub mod show;
 mod trouble;
 
--- /dev/null
+++ b/crates/lab/src/capacity/run.rs
@@ -0,0 +1,93 @@
+//! What a role costs as the fleet grows, as `doorgrade-lab scale --data FILE` writes it.
+
+use serde::{Deserialize, Serialize};
+
+/// How a quantity grows with the number of instances, N.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Shape {
+    /// Its rise over the sizes measured can't be told from none.
+    Flat,
+    /// No faster than a straight line; what grows more slowly (a logarithm) counts as this.
+    Linear,
+    /// Faster than a straight line.
+    Worse,
+}
+
+/// Where a figure comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Basis {
+    Measured,
+    Reckoned,
+}
+
+/// One line: a quantity of one role as a straight line over N.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Unique, as in `membership.heal.bytes_per_s`.
+    pub id: String,
+    /// Front, site, configuration service, membership, purge delivery, agent, operators' commands.
+    pub role: String,
+    /// What is counted, in words, with its condition.
+    pub quantity: String,
+    /// Of the quantity, as in `bytes/s`.
+    pub unit: String,
+    /// Units for each further instance.
+    pub slope: f64,
+    /// Of the slope, 95%.
+    pub interval: [f64; 2],
+    /// Units at N = 0, by the line.
+    pub intercept: f64,
+    /// Of the intercept, 95%.
+    pub intercept_interval: [f64; 2],
+    /// Standard deviation of the measurements about the line, in units.
+    pub residual: f64,
+    pub shape: Shape,
+    /// N at which it was measured.
+    pub sizes: Vec<usize>,
+    pub seeds: Vec<u64>,
+    pub basis: Basis,
+    /// As it is given to a shell.
+    pub command: String,
+    /// On which the command ran.
+    pub commit: String,
+}
+
+impl Entry {
+    /// By the line; beyond the sizes measured it is reckoned.
+    pub fn at(&self, n: f64) -> f64 {
+        self.intercept + self.slope * n
+    }
+}
+
+/// What one run wrote with `--data`: its lines, and the points that they were fitted on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    /// Of this file; others are refused.
+    pub format: u32,
+    pub commit: String,
+    pub command: String,
+    pub entries: Vec<Entry>,
+    pub figures: Vec<Figure>,
+}
+
+/// The format written now.
+pub const FORMAT: u32 = 1;
+
+/// One quantity as it was measured; `name` is an entry's `id`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Figure {
+    pub name: String,
+    pub unit: String,
+    pub points: Vec<Measured>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Measured {
+    /// N: how many instances.
+    pub fronts: usize,
+    pub value: f64,
+    pub seed: u64,
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,10 @@
-//! Experiments in virtual time that tests play, too.
+//! Experiments that tests play, too, and what several of them need.
 #![forbid(unsafe_code)]
 
 pub mod capacity;
 pub mod cold;
+mod figures;
+pub mod rig;
+pub mod scale;
+
+pub use figures::{Figures, How};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,7 +8,6 @@
 mod fleet;
 mod log;
 mod returns;
-mod rig;
 mod shape;
 mod shares;
 mod sizes;
@@ -18,10 +17,11 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Parser, Subcommand};
 use doorgrade_lab::capacity::Trouble;
 use doorgrade_lab::capacity::command::{self, Files};
-use serde_json::{Map, Value};
+use doorgrade_lab::scale::{self, ScaleArgs};
+use doorgrade_lab::{Figures, How, rig};
 
 #[derive(Parser)]
 #[command(name = "doorgrade-lab", version, about = "The project's experiments, a command each")]
@@ -30,19 +30,6 @@
     subject: Subject,
 }
 
-#[derive(Args, Clone)]
-pub struct How {
-    /// For all chance in the run
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
-    /// In under 30 s
-    #[arg(long)]
-    quick: bool,
-    /// The figures as one JSON object on the last line
-    #[arg(long)]
-    json: bool,
-}
-
 #[derive(Subcommand)]
 enum Subject {
     /// A hierarchy that changes shape under load: real fronts on loopback, beside fronts that rehash at once
@@ -139,6 +126,13 @@
         #[command(subcommand)]
         what: Capacity,
     },
+    /// What each role costs as the fleet grows: slopes over N with their intervals, within a budget of the machine
+    Scale {
+        #[command(flatten)]
+        how: How,
+        #[command(flatten)]
+        args: Box<ScaleArgs>,
+    },
     /// What a line of the log costs at a level that is off, and on
     Log {
         #[command(flatten)]
@@ -163,29 +157,6 @@
     },
 }
 
-/// Named figures, in the order in which they are to be read.
-#[derive(Default)]
-pub struct Figures(Map<String, Value>);
-
-impl Figures {
-    pub fn put(&mut self, name: &str, value: impl Into<Value>) {
-        self.0.insert(name.to_owned(), value.into());
-    }
-
-    /// Rounded to what the measurement can tell.
-    pub fn ratio(&mut self, name: &str, value: f64) {
-        self.put(name, (value * 1e4).round() / 1e4);
-    }
-
-    fn print(&self, json: bool) {
-        let wide = self.0.keys().map(String::len).max().unwrap_or(0);
-        self.0.iter().for_each(|(name, value)| println!("{name:wide$}  {value}"));
-        if json {
-            println!("{}", Value::Object(self.0.clone()));
-        }
-    }
-}
-
 /// Of a page that a run contradicts; as `doorgrade`'s commands have it for what is not as it should be.
 const OUT_OF_DATE: u8 = 3;
 
@@ -241,6 +212,10 @@
         Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
         Subject::Shares { how, front, places } => (how.clone(), shares::run(&how, front, places)),
         Subject::Cold { how } => (how.clone(), Ok(cold_figures::run(&how))),
+        Subject::Scale { how, args } => {
+            let figures = scale::run(&how, &args).map_err(|e| e.to_string());
+            (how, figures)
+        }
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
     match figures {
--- /dev/null
+++ b/crates/lab/src/scale/mod.rs
@@ -0,0 +1,194 @@
+//! `doorgrade-lab scale`: what each role costs as the fleet grows, part by part, within a budget of the machine.
+
+pub mod budget;
+pub mod fit;
+mod front_state;
+mod members;
+pub mod options;
+mod rollouts;
+mod service;
+pub mod watch;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use serde_json::Value;
+
+pub use budget::{Budget, BudgetError, GB, Needs, Taken};
+pub use fit::{Fit, FitError, Point, fit};
+pub use options::{OptionError, Options, ScaleArgs};
+use watch::Watch;
+
+use crate::capacity::run::{Basis, Entry, FORMAT, Figure, Measured, Run, Shape};
+use crate::{Figures, How};
+
+/// One part of the run.
+pub struct Part {
+    pub name: &'static str,
+    pub full_sizes: &'static [usize],
+    pub quick_sizes: &'static [usize],
+    /// Beside this process, at the largest size; the second is whether it is a quick run.
+    pub needs: fn(usize, bool) -> Needs,
+    pub run: fn(&mut Context) -> Result<(), ScaleError>,
+}
+
+pub static PARTS: [Part; 4] = [service::PART, members::PART, front_state::PART, rollouts::PART];
+
+#[derive(Debug, thiserror::Error)]
+pub enum ScaleError {
+    #[error(transparent)]
+    Option(#[from] OptionError),
+    #[error("refused to go on: {0}")]
+    Budget(#[from] BudgetError),
+    #[error("slope of {id}: {why}")]
+    Fit { id: String, why: FitError },
+    #[error("{path}: {why}: is the folder there, and may it be written?", path = path.display())]
+    Data { path: PathBuf, why: std::io::Error },
+    #[error("the watch beside the run does not start: {0}: are there threads left for this user?")]
+    Watch(std::io::Error),
+    /// What a part's own rig says: what, where, and what is to be done.
+    #[error("part {part}: {why}")]
+    Part { part: &'static str, why: String },
+}
+
+/// What of a quantity is fixed before it is measured.
+#[derive(Clone, Copy)]
+pub struct Quantity<'a> {
+    /// Unique in `docs/capacity.json`.
+    pub id: &'a str,
+    pub role: &'a str,
+    /// What is counted, with its condition.
+    pub what: &'a str,
+    pub unit: &'a str,
+}
+
+/// What a part is given, and where its figures go.
+pub struct Context {
+    pub options: Options,
+    pub budget: Arc<Budget>,
+    pub figures: Figures,
+    /// As they were fitted.
+    pub slopes: Vec<Entry>,
+    /// What the slopes were fitted on.
+    points: Vec<Figure>,
+    part: &'static Part,
+    commit: String,
+}
+
+impl Context {
+    pub fn new(options: Options) -> Context {
+        let budget = Arc::new(Budget::new(options.processes, options.memory_gb));
+        let (figures, slopes, points) = Default::default();
+        Context { options, budget, figures, slopes, points, part: &PARTS[0], commit: commit() }
+    }
+
+    /// How many instances, one run for each.
+    pub fn sizes(&self) -> Vec<usize> {
+        self.options.sizes_of(self.part)
+    }
+
+    /// For the chance of each run of a size; three or more.
+    pub fn seeds(&self) -> Vec<u64> {
+        (0..self.options.seeds).map(|n| self.options.seed.wrapping_mul(1_000).wrapping_add(n)).collect()
+    }
+
+    /// In every long loop, so that an interrupted run ends in order.
+    pub fn check(&self) -> Result<(), ScaleError> {
+        Ok(self.budget.check()?)
+    }
+
+    pub fn fault(&self, why: impl std::fmt::Display) -> ScaleError {
+        ScaleError::Part { part: self.part.name, why: why.to_string() }
+    }
+
+    pub fn put(&mut self, name: &str, value: impl Into<Value>) {
+        self.figures.put(name, value);
+    }
+
+    /// Rounded to what the measurement can tell.
+    pub fn ratio(&mut self, name: &str, value: f64) {
+        self.figures.ratio(name, value);
+    }
+
+    /// Fits a slope on what was measured and notes it for `--data`.
+    pub fn slope(&mut self, quantity: &Quantity, points: &[Point]) -> Result<Fit, ScaleError> {
+        let id = quantity.id;
+        let fit = fit(points).map_err(|why| ScaleError::Fit { id: id.to_owned(), why })?;
+        let distinct = |all: &mut dyn Iterator<Item = u64>| {
+            all.collect::<std::collections::BTreeSet<_>>().into_iter().collect::<Vec<_>>()
+        };
+        self.slopes.push(Entry {
+            id: id.to_owned(),
+            role: quantity.role.to_owned(),
+            quantity: quantity.what.to_owned(),
+            unit: quantity.unit.to_owned(),
+            slope: fit.slope,
+            interval: fit.slope_interval,
+            intercept: fit.intercept,
+            intercept_interval: fit.intercept_interval,
+            residual: fit.residual,
+            shape: fit.shape,
+            sizes: distinct(&mut points.iter().map(|p| p.size as u64)).iter().map(|&n| n as usize).collect(),
+            seeds: distinct(&mut points.iter().map(|p| p.seed)),
+            basis: Basis::Measured,
+            command: self.command(),
+            commit: self.commit.clone(),
+        });
+        let measured = |p: &Point| Measured { fronts: p.size, value: p.value, seed: p.seed };
+        let points = points.iter().map(measured).collect();
+        self.points.push(Figure { name: id.to_owned(), unit: quantity.unit.to_owned(), points });
+        Ok(fit)
+    }
+
+    fn command(&self) -> String {
+        let quick = if self.options.quick { " --quick" } else { "" };
+        format!("doorgrade-lab scale --seed {}{quick} --only {}", self.options.seed, self.part.name)
+    }
+}
+
+/// That the working tree stands on; unknown outside of one.
+fn commit() -> String {
+    let git = std::process::Command::new("git").args(["rev-parse", "--short", "HEAD"]).output();
+    let said =
+        git.ok().filter(|o| o.status.success()).map(|o| String::from_utf8_lossy(&o.stdout).trim().into());
+    said.unwrap_or_else(|| "unknown".to_owned())
+}
+
+/// All parts that are asked for, in order.
+pub fn run(how: &How, args: &ScaleArgs) -> Result<Figures, ScaleError> {
+    let options = Options::read(how, args)?;
+    let mut context = Context::new(options);
+    let watch = Watch::start(context.budget.clone()).map_err(ScaleError::Watch)?;
+    for part in context.options.parts.clone() {
+        context.part = part;
+        context.budget.sample()?;
+        (part.run)(&mut context)?;
+    }
+    context.budget.sample()?;
+    drop(watch);
+    let peak = context.budget.peak();
+    context.ratio("peak_rss_gb", peak.resident as f64 / GB);
+    context.put("processes", peak.processes);
+    let Context { options, figures, slopes: entries, points, commit, .. } = context;
+    if let Some(path) = &options.data {
+        let command = std::env::args().skip(1).collect::<Vec<_>>().join(" ");
+        let command = format!("doorgrade-lab {command}");
+        let run = Run { format: FORMAT, commit, command, entries, figures: points };
+        write(path, &run).map_err(|why| ScaleError::Data { path: path.clone(), why })?;
+    }
+    Ok(figures)
+}
+
+fn write(path: &std::path::Path, run: &Run) -> std::io::Result<()> {
+    let text = serde_json::to_string_pretty(run).map_err(std::io::Error::other)?;
+    std::fs::write(path, text + "\n")
+}
+
+/// As a figure says it.
+pub fn shape_name(shape: Shape) -> &'static str {
+    match shape {
+        Shape::Flat => "flat",
+        Shape::Linear => "linear",
+        Shape::Worse => "worse",
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/scale_run.rs
@@ -0,0 +1,173 @@
+//! A scale run as a process: what it refuses before anything starts, and what it leaves when it is interrupted.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use doorgrade_lab::rig::Folder;
+use doorgrade_lab::scale::budget::{family, taken};
+use doorgrade_lab::scale::watch::{INTERRUPTED, Watch};
+use doorgrade_lab::scale::{Budget, BudgetError, GB, Needs};
+use rustix::process::{Pid, Signal, kill_process};
+
+fn lab(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_doorgrade-lab")).arg("scale").args(args).output().expect("the lab runs")
+}
+
+#[test]
+fn what_is_out_of_bounds_is_refused_by_name_before_anything_starts() {
+    let cases: &[(&[&str], &str)] = &[
+        (&["--sizes", "0,50,100,150"], "--sizes 0: expected 2 to 10000 instances, each"),
+        (&["--sizes", "-5,50,100,150"], "--sizes -5: expected 2 to 10000 instances, each"),
+        (&["--sizes", "50,100,150,10001"], "--sizes 10001: expected 2 to 10000 instances, each"),
+        (&["--sizes", "50,50,100,150"], "expected 4 sizes or more that differ"),
+        (&["--seeds", "0"], "--seeds 0: expected 3 to 30 runs of each size"),
+        (&["--seeds", "-3"], "--seeds -3: expected 3 to 30"),
+        (&["--seeds", "many"], "--seeds many: expected 3 to 30"),
+        (&["--rates", "40,0"], "--rates 0: expected 0.1 to 10000 accesses a second, each"),
+        (&["--rates", "-1"], "--rates -1: expected 0.1 to 10000"),
+        (&["--rates", "NaN"], "--rates NaN: expected 0.1 to 10000"),
+        (&["--change-each-s", "0"], "--change-each-s 0: expected 0.1 to 86400 s on average"),
+        (&["--memory-gb", "0"], "--memory-gb 0: expected 0.1 to 12 GB"),
+        (&["--memory-gb", "-1"], "--memory-gb -1: expected 0.1 to 12 GB"),
+        (&["--memory-gb", "13"], "--memory-gb 13: expected 0.1 to 12 GB"),
+        (&["--memory-gb", "inf"], "--memory-gb inf: expected 0.1 to 12 GB"),
+        (&["--processes", "0"], "--processes 0: expected 1 to 300 processes"),
+        (&["--processes", "301"], "--processes 301: expected 1 to 300 processes"),
+        (&["--only", "nothing"], "--only nothing: expected some of service, members, front-state, rollouts"),
+        (&["--only", "members", "--sizes", "50,100,150,10000"], "--sizes 10000: members would take"),
+    ];
+    for (args, expected) in cases {
+        let begun = Instant::now();
+        let output = lab(args);
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success() && said.contains(expected), "{args:?}: {said}");
+        assert!(output.stdout.is_empty(), "{args:?}: figures of a run that was refused");
+        assert!(begun.elapsed() < Duration::from_secs(10), "{args:?}: something was started first");
+    }
+}
+
+#[test]
+fn a_budget_refuses_a_start_that_does_not_fit_and_goes_on_otherwise() {
+    let resident = taken().expect("/proc").resident;
+    let budget = Budget::new(100, (resident + 500_000_000) as f64 / GB);
+    assert_eq!(budget.may_start("one more", Needs { processes: 1, resident: 1_000_000 }), Ok(()));
+    let refused = budget.may_start("a fleet", Needs { processes: 100, resident: 0 });
+    assert!(matches!(refused, Err(BudgetError::Processes { most: 100, .. })), "{refused:?}");
+    let refused = budget.may_start("a large one", Needs { processes: 1, resident: 600_000_000 });
+    assert!(matches!(refused, Err(BudgetError::Memory { .. })), "{refused:?}");
+    // A start that was refused has taken nothing: others may go on.
+    assert_eq!(budget.check(), Ok(()));
+    assert!(budget.peak().processes >= 1 && budget.peak().resident > 0);
+}
+
+#[test]
+fn over_a_bound_the_run_is_refused_for_good() {
+    let budget = Budget::new(100, 0.000_1);
+    assert!(matches!(budget.sample(), Err(BudgetError::Memory { .. })));
+    assert!(matches!(budget.check(), Err(BudgetError::Memory { .. })));
+    assert!(budget.may_start("one", Needs::default()).is_err());
+}
+
+/// Set for the process that plays the run in the tests below; its value is what the run does.
+const PLAYS: &str = "DOORGRADE_LAB_TEST_PLAYS";
+
+/// Not a test by itself: the run that the tests below interrupt. It has children, files, and a loop that never looks at its budget.
+#[test]
+fn a_run_to_be_interrupted() {
+    let Ok(plays) = std::env::var(PLAYS) else { return };
+    let processes = if plays == "over" { 3 } else { 100 };
+    let budget = std::sync::Arc::new(Budget::new(processes, 4.0));
+    let _watch = Watch::start(budget).expect("the watch starts");
+    let folder = Folder::new("interrupted").expect("a folder");
+    folder.put("store", "bytes").expect("a file");
+    let sleeper = || Command::new("sleep").arg("600").stdin(Stdio::null()).spawn().expect("sleep starts");
+    let children: Vec<_> = (0..3).map(|_| sleeper().id().to_string()).collect();
+    let ready = PathBuf::from(std::env::var("DOORGRADE_LAB_TEST_READY").expect("where to say so"));
+    std::fs::write(ready.with_extension("part"), children.join(" ")).expect("written");
+    std::fs::rename(ready.with_extension("part"), ready).expect("said");
+    loop {
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
+
+fn within(time: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+/// Neither there nor waiting to be reaped by somebody else than us.
+fn gone(id: &str) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    stat.is_empty() || stat.rsplit_once(')').is_some_and(|(_, rest)| rest.trim_start().starts_with('Z'))
+}
+
+fn leaves_nothing(plays: &str, signal: Option<Signal>, expected: &str) {
+    let own = Folder::new(&format!("interrupts-{plays}")).expect("a folder");
+    let ready = own.path("ready");
+    let mut run = Command::new(std::env::current_exe().expect("this program"))
+        .args(["a_run_to_be_interrupted", "--exact", "--nocapture", "--test-threads", "1"])
+        .env(PLAYS, plays)
+        .env("DOORGRADE_LAB_TEST_READY", &ready)
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the run starts");
+    let mut children = String::new();
+    let came = within(Duration::from_secs(20), || {
+        children = std::fs::read_to_string(&ready).unwrap_or_default();
+        !children.is_empty()
+    });
+    assert!(came, "the run has not started its processes");
+    if let Some(signal) = signal {
+        let id = Pid::from_raw(run.id() as i32).expect("a process");
+        kill_process(id, signal).expect("signalled");
+    }
+    let ended = within(Duration::from_secs(20), || run.try_wait().is_ok_and(|s| s.is_some()));
+    let number = run.id();
+    if !ended {
+        let _ = run.kill();
+    }
+    let output = run.wait_with_output().expect("its end");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(ended, "{plays}: it went on");
+    assert!(said.contains(expected), "{plays}: {said}");
+    assert_eq!(output.status.code() == Some(INTERRUPTED), signal.is_some(), "{plays}: {:?}", output.status);
+    for child in children.split(' ') {
+        assert!(within(Duration::from_secs(5), || gone(child)), "{plays}: process {child} was left");
+    }
+    let left = std::env::temp_dir().join(format!("doorgrade-lab-{number}-interrupted"));
+    assert!(!Path::new(&left).exists(), "{plays}: files were left");
+}
+
+#[test]
+fn at_sigint_its_processes_and_files_are_gone() {
+    leaves_nothing("int", Some(Signal::INT), "interrupted");
+}
+
+#[test]
+fn at_sigterm_its_processes_and_files_are_gone() {
+    leaves_nothing("term", Some(Signal::TERM), "interrupted");
+}
+
+#[test]
+fn over_its_budget_it_ends_by_itself() {
+    leaves_nothing("over", None, "4 processes, and 3 may run (--processes)");
+}
+
+#[test]
+fn the_family_is_this_process_and_its_children() {
+    let mut child = Command::new("sleep").arg("600").spawn().expect("sleep starts");
+    let all = family().expect("/proc");
+    let (own, has) = (all.contains(&std::process::id()), all.contains(&child.id()));
+    let stranger = all.contains(&1);
+    let _ = child.kill();
+    let _ = child.wait();
+    assert!(own && has && !stranger, "{all:?}");
+}
