A store written by a later release is refused by name; a sample holds today's format

A record whose format number is later than this release's counted as damaged; a service that found its state so opened a new epoch over a history that it could not read. It is now told by name, with both formats and what can be done, the service does not start on it and the record stays as it is.

--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -8,7 +8,7 @@
 
 use doorgrade_keys::rustls::ServerConfig;
 use doorgrade_keys::{Reloading, server};
-use doorgrade_store::{Records, ServiceStore};
+use doorgrade_store::{Records, ServiceStore, Trouble};
 use doorgrade_stream::{FRONTS, OPERATORS, now};
 use doorgrade_versions::seal::Keys;
 use doorgrade_versions::service::Service;
@@ -119,6 +119,9 @@
         }
         let store = ServiceStore::new(records);
         let (found, troubles) = store.load();
+        if let Some(newer) = troubles.iter().find(|t| matches!(t, Trouble::Newer { .. })) {
+            return Err(format!("{}: {newer}", settings.store().display()));
+        }
         troubles.iter().for_each(|trouble| tracing::error!("{trouble}"));
         let mut out = Vec::new();
         let service = Service::start(now(), settings.rules(), Keys::new(keys.clone()), found, &mut out);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -28,6 +28,8 @@
     SetAside(PathBuf, Box<str>),
     /// One record is not what was written; it counts as not there.
     Damaged(Box<str>),
+    /// One record was written by a later release. It is left as it is: read wrongly it would be worth less than nothing.
+    Newer { key: Box<str>, format: u8 },
     /// Another process has it open; it is left alone.
     InUse,
     /// It could not be read or written.
@@ -43,6 +45,11 @@
             Trouble::Damaged(key) => {
                 write!(f, "the store's record '{key}' is not what was written: left out")
             }
+            Trouble::Newer { key, format } => write!(
+                f,
+                "the store's record '{key}' was written in format {format} by a later release, and this one reads up to \
+                 {FORMAT}: start that release, or move the store's file away"
+            ),
             Trouble::InUse => f.write_str("the store is open in another process"),
             Trouble::Failed(why) => write!(f, "the store: {why}"),
         }
@@ -67,10 +74,15 @@
     record
 }
 
-fn unseal(record: &[u8]) -> Option<&[u8]> {
-    let (&format, rest) = record.split_first()?;
-    let (sum, payload) = rest.split_at_checked(32)?;
-    (format == FORMAT && blake3::hash(payload).as_bytes() == sum).then_some(payload)
+fn unseal<'a>(key: &str, record: &'a [u8]) -> Result<&'a [u8], Trouble> {
+    let damaged = || Trouble::Damaged(key.into());
+    let (&format, rest) = record.split_first().ok_or_else(damaged)?;
+    if format > FORMAT {
+        return Err(Trouble::Newer { key: key.into(), format });
+    }
+    let (sum, payload) = rest.split_at_checked(32).ok_or_else(damaged)?;
+    let whole = format == FORMAT && blake3::hash(payload).as_bytes() == sum;
+    if whole { Ok(payload) } else { Err(damaged()) }
 }
 
 /// Records by name.
@@ -149,10 +161,7 @@
             let table = begun.open_table(RECORDS).map_err(failed)?;
             match table.get(key).map_err(failed)? {
                 None => Ok(None),
-                Some(record) => match unseal(record.value()) {
-                    Some(payload) => Ok(Some(payload.to_vec())),
-                    None => Err(Trouble::Damaged(key.into())),
-                },
+                Some(record) => unseal(key, record.value()).map(|payload| Some(payload.to_vec())),
             }
         })
     }
--- /dev/null
+++ b/crates/store/tests/formats.rs
@@ -0,0 +1,94 @@
+//! What earlier releases wrote is read, and what later ones wrote is refused by name. The samples are bytes as the release
+//! that is named wrote them: they stay as they are.
+
+use std::path::PathBuf;
+
+use doorgrade_store::{Records, ServiceStore, Trouble};
+use doorgrade_versions::service::{Saved, Stop};
+use doorgrade_versions::{Id, Reason};
+use redb::{Database, ReadableDatabase, TableDefinition};
+
+const RECORDS: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("records");
+const EPOCH: u64 = 17_000_000_000_000;
+
+/// Of commit c7e0452, before there were trials: two versions, the second one stopped in its first wave.
+const WAVES: [(&str, &str); 3] = [
+    (
+        "state",
+        "80a0d8f7e1ee0301010180a0d8f7e1ee030231c3ddbbe5706a1d9a8c2f97d3da410a98d51628c8c6e3cb4d61600d682bf8bb\
+         0102026e31026e32010001020109686965726172636879",
+    ),
+    (
+        "version/00000f761ef61000/0000000000000001",
+        "80a0d8f7e1ee0301d5103f61bf2b6fe7936ee82752d683dbaba0f520ac7ada56c96a656c43feffc5176c6f67207b206c65766\
+         56c203d2022696e666f22207d0a05666972737490eed8f7e1ee03",
+    ),
+    (
+        "version/00000f761ef61000/0000000000000002",
+        "80a0d8f7e1ee030231c3ddbbe5706a1d9a8c2f97d3da410a98d51628c8c6e3cb4d61600d682bf8bb176c6f67207b206c65766\
+         56c203d20227761726e22207d0a067365636f6e64a0dcb1efc3dd07",
+    ),
+];
+
+fn bytes(hex: &str) -> Vec<u8> {
+    (0..hex.len()).step_by(2).map(|at| u8::from_str_radix(&hex[at..at + 2], 16).unwrap()).collect()
+}
+
+/// A store's file with records that some release wrote, each in its format.
+fn written(name: &str, records: &[(&str, u8, Vec<u8>)]) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("doorgrade-{}-{name}.redb", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    let database = Database::create(&path).unwrap();
+    let write = database.begin_write().unwrap();
+    for (key, format, payload) in records {
+        let sealed = [&[*format][..], blake3::hash(payload).as_bytes(), payload].concat();
+        write.open_table(RECORDS).unwrap().insert(key, sealed.as_slice()).unwrap();
+    }
+    write.commit().unwrap();
+    path
+}
+
+fn sample() -> Vec<(&'static str, u8, Vec<u8>)> {
+    WAVES.iter().map(|(key, hex)| (*key, 1, bytes(hex))).collect()
+}
+
+#[test]
+fn a_store_from_before_there_were_trials_is_read_whole() {
+    let path = written("waves", &sample());
+    let (records, trouble) = Records::open(&path).unwrap();
+    assert_eq!(trouble, None);
+    let (found, troubles) = ServiceStore::new(records).load();
+    assert_eq!(troubles, []);
+    assert_eq!((found.epoch, found.base), (EPOCH, Some(1)));
+    let contents: Vec<&[u8]> = found.versions.iter().map(|v| &*v.content).collect();
+    assert_eq!(contents, [&b"log { level = \"info\" }\n"[..], b"log { level = \"warn\" }\n"]);
+    let saved = Saved {
+        id: Id::of(EPOCH, 2, contents[1]),
+        wave: 1,
+        canaries: ["n1".into(), "n2".into()].into(),
+        stopped: Some(Stop::Refused { count: 1, of: 2, first: Reason::NeedsRestart("hierarchy".into()) }),
+    };
+    assert_eq!(found.rollout, Some(saved));
+    std::fs::remove_file(path).unwrap();
+}
+
+#[test]
+fn a_record_of_a_later_release_is_refused_by_name_and_left_as_it_is() {
+    let mut records = sample();
+    records[0].1 = 9;
+    let path = written("later", &records);
+    let store = ServiceStore::new(Records::open(&path).unwrap().0);
+    let (found, troubles) = store.load();
+    assert_eq!(found.epoch, 0);
+    assert_eq!(troubles, [Trouble::Newer { key: "state".into(), format: 9 }]);
+    assert_eq!(
+        troubles[0].to_string(),
+        "the store's record 'state' was written in format 9 by a later release, and this one reads up to 1: start that \
+         release, or move the store's file away"
+    );
+    drop(store);
+    let database = Database::open(&path).unwrap();
+    let table = database.begin_read().unwrap().open_table(RECORDS).unwrap();
+    assert_eq!(table.get("state").unwrap().unwrap().value()[0], 9);
+    std::fs::remove_file(path).unwrap();
+}
