The front counts accesses that ended and those answered within the soft limit

For rollouts judged by evidence the service needs whole accesses, not shares of the benefit. The reducer counts each once, when it ends (answered, given up, left by its client, or turned away for want of room), in two integers beside the sums it has: two additions an access, nothing allocated, nothing else on the path.

--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -142,6 +142,7 @@
         }
         // Nothing was pushed yet, so trying again is harmless.
         if !work.phase.takes(work.now) || work.bodies + 2 * request.body.len() > work.bounds.bodies {
+            work.served.ended += 1;
             return work.reply(conn, id, Reply::bare(503));
         }
         let Some(client) = work.clients.get_mut(&conn) else { return };
@@ -179,6 +180,7 @@
         if let Some(taken) = self.work.accesses.get_mut(&access)
             && !std::mem::replace(&mut taken.done, true)
         {
+            self.work.served.ended += 1;
             self.work.stop_unsent(access);
             self.front.left(access, &mut self.work);
             self.work.tidy(access);
@@ -330,10 +332,13 @@
     /// The one final answer of an access.
     pub(super) fn answer(&mut self, access: AccessId, reply: Reply<'_>) {
         if let Some(taken) = self.accesses.get_mut(&access) {
-            taken.done = true;
-            if reply.status == 200 && self.now <= taken.aim {
+            let first = !std::mem::replace(&mut taken.done, true);
+            let in_time = reply.status == 200 && self.now <= taken.aim;
+            if in_time {
                 self.served.in_time += taken.worth;
             }
+            self.served.ended += u64::from(first);
+            self.served.answered += u64::from(first && in_time);
             let (client, id) = (taken.client, taken.id);
             self.reply(client, id, reply);
             self.stop_unsent(access);
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -140,11 +140,16 @@
     pub(super) aim: Tenths,
 }
 
-/// Benefit asked for, and had within the soft limit, in all.
+/// Benefit asked for, and had within the soft limit, in all; and accesses in numbers, for reports to the service of
+/// versions.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Served {
     pub asked: f64,
     pub in_time: f64,
+    /// Accesses that have ended: answered, given up, left by their clients, or turned away for want of room.
+    pub ended: u64,
+    /// Of those, the ones answered with the content within the soft limit.
+    pub answered: u64,
 }
 
 /// The most that was in use at once, for the log.
