Evidence and merge: the interfaces of rollouts judged by evidence, in a simple form

The decisions of overlapping rollouts need a comparison of an arm with its control group and changes that can be laid on each other or taken out.

--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -4,6 +4,8 @@
 //!   what it runs after a crash; when it connects again. It runs the last good version, whatever happens.
 //! - [`service`]: which front is to have which version now; publication in waves that stops by itself; what each
 //!   front has, wants and said; who lags, who is silent, who says what can't be; how fast returning fronts come in.
+//! - [`evidence`]: whether fronts with a change answer less than those without it. [`merge`]: changes laid on each other
+//!   or taken out.
 //! - [`delta`], [`seal`]: a change against a version that the other side has; a content bound to its number.
 //!
 //! A version's place is its epoch and its number: a service that has lost its store, or found an older copy of it,
@@ -13,7 +15,9 @@
 #![forbid(unsafe_code)]
 
 pub mod delta;
+pub mod evidence;
 pub mod front;
+pub mod merge;
 pub mod message;
 pub mod seal;
 pub mod service;
