A front's control side in a package of its own, doorgrade-control-client

The thread that follows the configuration stream, the exchange with other fronts and recall's memory stood in crates/front, in a circle of files with serve.rs, and could not be run without a front. They are a package now that knows nothing of clients: the instance hands in a trait (needs_restart, apply, served) and a callback for what was recalled, and each part is a future that any runtime can drive. crates/front keeps in_use.rs: the configuration in use, and how a signal or a version replaces it. serve.rs depends on in_use.rs and on the new package, and neither on it.

Renamed: Beside -> Neighbourhood, Told -> Membership, Speaks -> Exchange, Wire -> Peers, Word -> Message, Place -> Standing, Seems -> MemberState, Kept -> StoredVersion, Runs -> Applies, Side -> Worker, papers -> credentials, life -> incarnation, look -> reload. Log lines, threads' names and their number are as they were.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -16,7 +16,8 @@
 use std::process::ExitCode;
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
-use doorgrade_front::serve::{Place, serve};
+use doorgrade_front::in_use::Place;
+use doorgrade_front::serve::serve;
 
 /// A front for caches of large objects behind thin links.
 ///
--- a/crates/cli/src/neighbours.rs
+++ b/crates/cli/src/neighbours.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 
 use clap::Args;
-use doorgrade_front::neighbours::{Place, Row, Seems, Status, status};
-use doorgrade_front::versions::read_keys;
+use doorgrade_control_client::neighbours::{MemberState, Row, Standing, Status, status};
+use doorgrade_control_client::seal_keys::read_keys;
 use doorgrade_members::seal::Keys;
 use doorgrade_operator::files;
 use serde_json::json;
@@ -26,19 +26,19 @@
     json: bool,
 }
 
-fn state(state: Seems) -> &'static str {
+fn state(state: MemberState) -> &'static str {
     match state {
-        Seems::Up => "up",
-        Seems::Doubted => "doubted",
-        Seems::Down => "down",
+        MemberState::Up => "up",
+        MemberState::Doubted => "doubted",
+        MemberState::Down => "down",
     }
 }
 
-fn standing(place: Place) -> &'static str {
-    match place {
-        Place::Alone => "alone",
-        Place::Doubts => "doubts",
-        Place::Among => "among",
+fn standing(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Alone => "alone",
+        Standing::Doubts => "doubts",
+        Standing::Among => "among",
     }
 }
 
@@ -71,9 +71,9 @@
         own.station,
         own.at,
         match s.standing {
-            Place::Among => "among neighbours",
-            Place::Doubts => "in doubt: it has slept, and nobody has answered since",
-            Place::Alone => "alone",
+            Standing::Among => "among neighbours",
+            Standing::Doubts => "in doubt: it has slept, and nobody has answered since",
+            Standing::Alone => "alone",
         },
         own.incarnation(),
         s.said,
--- a/crates/cli/src/recall.rs
+++ b/crates/cli/src/recall.rs
@@ -5,7 +5,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::Subcommand;
-use doorgrade_front::memory::{Remembers, read};
+use doorgrade_control_client::memory::{Remembers, read};
 use doorgrade_operator::files;
 use doorgrade_recall::{Memory, Snapshot, Source};
 use doorgrade_store::{Records, Trouble};
--- a/crates/cli/tests/helper/fleet.rs
+++ b/crates/cli/tests/helper/fleet.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use doorgrade_front::neighbours::{Place, Seems, Status, status};
-use doorgrade_front::versions::read_keys;
+use doorgrade_control_client::neighbours::{MemberState, Standing, Status, status};
+use doorgrade_control_client::seal_keys::read_keys;
 use doorgrade_members::seal::Keys;
 use doorgrade_standins::links::Links;
 use doorgrade_standins::process::Process;
@@ -119,7 +119,7 @@
     /// Those that it takes for up, itself included.
     pub fn picture(&self, n: usize) -> Vec<String> {
         let Some(told) = self.ask(n) else { return Vec::new() };
-        let up = told.rows.iter().filter(|r| r.state == Seems::Up).map(|r| r.id.name.to_string());
+        let up = told.rows.iter().filter(|r| r.state == MemberState::Up).map(|r| r.id.name.to_string());
         let mut up: Vec<String> = up.chain([format!("n{n}")]).collect();
         up.sort();
         up
@@ -128,8 +128,9 @@
     pub fn all_see(&self, who: std::ops::Range<usize>, whom: std::ops::Range<usize>) {
         let whom = names(whom);
         until(&format!("n{who:?} see {whom:?}"), || {
-            who.clone()
-                .all(|n| self.picture(n) == whom && self.ask(n).is_some_and(|s| s.standing == Place::Among))
+            who.clone().all(|n| {
+                self.picture(n) == whom && self.ask(n).is_some_and(|s| s.standing == Standing::Among)
+            })
         });
     }
 
--- a/crates/cli/tests/neighbours.rs
+++ b/crates/cli/tests/neighbours.rs
@@ -7,7 +7,7 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use doorgrade_front::neighbours::Place;
+use doorgrade_control_client::neighbours::Standing;
 use doorgrade_standins::links::Way;
 use doorgrade_standins::timeline::{Timeline, What};
 use helper::fleet::{Fleet, names, until};
@@ -80,7 +80,7 @@
         fleet.start(n);
     }
     until("cut off from all seeds, it is alone", || {
-        (3..6).all(|n| fleet.ask(n).is_some_and(|s| s.standing == Place::Alone))
+        (3..6).all(|n| fleet.ask(n).is_some_and(|s| s.standing == Standing::Alone))
     });
     fleet.links.heal();
     fleet.all_see(0..6, 0..6);
--- a/crates/front/src/versions.rs
+++ b/crates/control-client/src/configuration.rs
@@ -1,14 +1,12 @@
-//! Versions of the configuration: what is kept of them at a start, and the thread that follows the service. Off
-//! unless the operators' settings have it on; nothing of this is started then.
+//! Versions of the configuration: what is stored of them at a start, and the follower of their service. Off unless the
+//! operators' settings have it on; nothing of this is started then.
 //!
-//! The thread speaks to the service, checks and stores. What it brings into use goes to the reducer as one input, as
-//! a reload by SIGHUP does, so that a version is taken whole or not at all.
+//! The follower speaks to the service, checks and stores. The instance brings a version into use ([`Instance::apply`]),
+//! whole or not at all.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
 use doorgrade_keys::rustls::ClientConfig;
 use doorgrade_keys::rustls::pki_types::ServerName;
@@ -18,34 +16,36 @@
 use doorgrade_store::{FrontStore, Records};
 use doorgrade_stream::follow::{Command, Follow, Host, To};
 use doorgrade_stream::{FRONTS, now};
-use doorgrade_trust::rotation;
 use doorgrade_versions::front::{Content, Found, Front, Line};
 use doorgrade_versions::seal::{Keys, Seal};
 use doorgrade_versions::{Id, Reason};
-use tokio::sync::{mpsc as queue, oneshot};
+use tokio::sync::mpsc as queue;
 
-use crate::config::Config;
-use crate::conn::Event;
-use crate::reducer;
-use crate::serve::{Place, Shared, lock};
-use crate::side::Side;
+use crate::SetupError;
+use crate::seal_keys::{RELOAD_EACH, SealKeys, changed, read_keys};
+use crate::worker::{Stopped, Worker};
 
-/// How it serves, from the reducer to whoever tells the service: sums in thousandths.
-#[derive(Default)]
+/// How an instance serves, summed since its start: benefit in thousandths.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Served {
-    asked: AtomicU64,
-    in_time: AtomicU64,
+    /// Asked for.
+    pub asked: u64,
+    /// Had within the soft limit.
+    pub in_time: u64,
 }
 
-impl Served {
-    pub fn put(&self, sums: reducer::Served) {
-        self.asked.store((1e3 * sums.asked) as u64, Ordering::Relaxed);
-        self.in_time.store((1e3 * sums.in_time) as u64, Ordering::Relaxed);
-    }
+/// What runs the versions: a front with client traffic, or one without.
+pub trait Instance {
+    /// What of a version it could only take with a new start, key by key; empty where it can take all of it.
+    fn needs_restart(&self, version: &Version) -> Vec<String>;
+    /// Brings a version into use, whole or not at all; an error says why it was not. One that is ending never resolves.
+    fn apply(&mut self, id: &Id, version: &Arc<Version>) -> impl Future<Output = Result<(), String>>;
+    /// How it serves.
+    fn served(&self) -> Served;
 }
 
 /// What a start found of versions.
-pub struct Kept {
+pub struct StoredVersion {
     own: Versions,
     settings: PathBuf,
     store: Option<FrontStore>,
@@ -56,7 +56,7 @@
     seed: u64,
 }
 
-/// Reads a content, and says why this front can't take it.
+/// Reads a content, and says why an instance can't take it.
 fn sound(content: &[u8], needs_restart: impl Fn(&Version) -> Vec<String>) -> Result<Version, Reason> {
     let clipped = |why: String| Reason::Unusable(why.chars().take(MOST_REASON).collect::<String>().into());
     let version = Version::sound("version", content).map_err(clipped)?;
@@ -67,11 +67,16 @@
 /// Letters of a refusal: some lines that a person reads.
 const MOST_REASON: usize = 8_000;
 
-impl Kept {
-    /// Nothing that is wrong with the store ends a start: the front then runs its own file, and says so.
-    pub fn open(own: Versions, place: &Place, first: &Config) -> Kept {
-        let settings = place.settings.clone().unwrap_or_else(|| files::USUAL.into());
-        let path = files::beside(&settings, &own.store);
+impl StoredVersion {
+    /// Opens the store beside the file `settings`. Nothing that is wrong with it ends a start: the instance then runs
+    /// its own file, and says so. `needs_restart` as of [`Instance`].
+    pub fn open(
+        own: Versions,
+        settings: &Path,
+        seed: u64,
+        needs_restart: impl Fn(&Version) -> Vec<String>,
+    ) -> StoredVersion {
+        let path = files::beside(settings, &own.store);
         let store = match Records::open(&path) {
             Ok((records, trouble)) => {
                 trouble.iter().for_each(|trouble| tracing::error!("versions: {trouble}"));
@@ -84,8 +89,7 @@
         };
         let (found, troubles) = store.as_ref().map(FrontStore::load).unwrap_or_default();
         troubles.iter().for_each(|trouble| tracing::error!("versions: {trouble}"));
-        let read =
-            found.good.as_ref().map(|(id, _, content)| (id, sound(content, |v| first.needs_restart(v))));
+        let read = found.good.as_ref().map(|(id, _, content)| (id, sound(content, &needs_restart)));
         let (usable, version) = match read {
             None => (Ok(()), None),
             Some((id, Ok(version))) => {
@@ -97,82 +101,92 @@
         if found.good.is_none() {
             tracing::info!("versions: none is kept; this start runs its own file");
         }
-        Kept { own, settings, store, found, usable, version, seed: first.seed }
+        StoredVersion { own, settings: settings.into(), store, found, usable, version, seed }
     }
 
-    /// Starts the thread that follows the service.
-    pub fn follow(self, name: String, in_use: Shared, served: Arc<Served>) -> Result<Side, String> {
-        let fault = |what: &str| format!("settings: block 'versions': {what}");
+    /// Reads keys and certificates; what is to follow the service as `name` is handed back.
+    pub fn follower<I: Instance>(self, name: String, instance: I) -> Result<Follower<I>, SetupError> {
+        let fault = |what: String| SetupError::Settings { block: "versions", what };
         let server = ServerName::try_from(self.own.server_name.to_string());
-        let server = server.map_err(|e| fault(&format!("key 'server_name': {e}")))?;
+        let server = server.map_err(|e| fault(format!("key 'server_name': {e}")))?;
         let paths = Paths::beside(&self.settings, &self.own.papers);
         let files = paths.all();
-        let papers =
-            Reloading::new(files, move || client(&paths, FRONTS)).map_err(|t| fault(&t.to_string()))?;
+        let credentials = Reloading::new(files, move || client(&paths, FRONTS));
+        let credentials = credentials.map_err(|t| fault(t.to_string()))?;
         let seal_keys = files::beside(&self.settings, &self.own.seal_keys);
-        let keys = read_keys(&seal_keys).map_err(|why| fault(&why))?;
-        Side::start("versions", move |stopped| async move {
-            let Kept { own, store, found, usable, seed, .. } = self;
-            let host = Runs { store, in_use, served, before: (0, 0), next: None, lost: None };
-            let (commands, mut told) = queue::channel(4);
-            let to = To { at: own.service, name: server };
-            let first_keys = Keys::new(keys.clone());
-            let (mut follow, first) = Follow::new(host, to, papers.made(), |at, out| {
-                Front::start(at, seed, (&name, &own.station), first_keys, found, usable, out)
-            });
-            tokio::select! {
-                () = follow.run(first, &mut told) => {}
-                () = watch(papers, seal_keys, keys, commands) => {}
-                // Wherever it is: what was being brought into use is found as not stored, not as a crash.
-                _ = stopped => {}
-            }
-            follow.host.unstage();
-        })
+        let keys = read_keys(&seal_keys).map_err(fault)?;
+        Ok(Follower { stored: self, name, server, credentials, seal_keys, keys, instance })
+    }
+
+    /// Starts the thread that follows the service.
+    pub fn follow(
+        self,
+        name: String,
+        instance: impl Instance + Send + 'static,
+    ) -> Result<Worker, SetupError> {
+        let follower = self.follower(name, instance)?;
+        Worker::start("versions", move |stopped| follower.run(stopped))
     }
 }
 
-/// The operators' keys that seal, by number.
-pub fn read_keys(file: &std::path::Path) -> Result<Vec<(u32, Vec<u8>)>, String> {
-    let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: can't be read: {e}"))?;
-    let keys =
-        doorgrade_operator::control::seal_keys(&name, &text).map_err(|problems| problems.to_string())?;
-    rotation::check(&keys).map_err(|objection| format!("{name}: {objection}"))?;
-    Ok(keys)
+/// Follows the service, once it is run.
+pub struct Follower<I> {
+    stored: StoredVersion,
+    name: String,
+    server: ServerName<'static>,
+    credentials: Reloading<ClientConfig>,
+    seal_keys: PathBuf,
+    keys: SealKeys,
+    instance: I,
 }
 
-/// How often keys and certificates are looked at.
-pub(crate) const LOOK_EACH: Duration = Duration::from_secs(10);
+impl<I: Instance> Follower<I> {
+    /// Until it is stopped.
+    pub async fn run(self, stopped: Stopped) {
+        let Follower { stored, name, server, credentials, seal_keys, keys, instance } = self;
+        let StoredVersion { own, store, found, usable, seed, .. } = stored;
+        let host = Applies { store, instance, before: Served::default(), next: None, lost: None };
+        let (commands, mut told) = queue::channel(4);
+        let to = To { at: own.service, name: server };
+        let first_keys = Keys::new(keys.clone());
+        let (mut follow, first) = Follow::new(host, to, credentials.made(), |at, out| {
+            Front::start(at, seed, (&name, &own.station), first_keys, found, usable, out)
+        });
+        tokio::select! {
+            () = follow.run(first, &mut told) => {}
+            () = reload(credentials, seal_keys, keys, commands) => {}
+            // Wherever it is: what was being brought into use is found as not stored, not as a crash.
+            _ = stopped => {}
+        }
+        follow.host.unstage();
+    }
+}
 
 /// Keys and certificates that change, and those that will end.
-async fn watch(
-    mut papers: Reloading<ClientConfig>,
+async fn reload(
+    mut credentials: Reloading<ClientConfig>,
     seal_keys: PathBuf,
-    mut keys: Vec<(u32, Vec<u8>)>,
+    mut keys: SealKeys,
     commands: queue::Sender<Command>,
 ) {
     loop {
-        for (file, of, word) in papers.due(now()) {
+        for (file, of, word) in credentials.due(now()) {
             tracing::warn!("versions: {}: the certificate of {of} {word}", file.display());
         }
-        tokio::time::sleep(LOOK_EACH).await;
+        tokio::time::sleep(RELOAD_EACH).await;
         let mut news = Vec::new();
-        match papers.refresh(false) {
+        match credentials.refresh(false) {
             None => {}
             Some(Ok(())) => {
                 tracing::info!("versions: certificates read anew; a connection that is up stays");
-                news.push(Command::Tls(papers.made()));
+                news.push(Command::Tls(credentials.made()));
             }
             Some(Err(trouble)) => tracing::error!("versions: {trouble}; what was read before stays in use"),
         }
-        match read_keys(&seal_keys) {
-            Ok(new) if new != keys => {
-                tracing::info!("versions: the keys that seal were read anew");
-                news.push(Command::Keys(Keys::new(new.clone())));
-                keys = new;
-            }
-            // One that is being written is looked at again.
-            Ok(_) | Err(_) => {}
+        if let Some(new) = changed(&seal_keys, &keys) {
+            tracing::info!("versions: the keys that seal were read anew");
+            news.push(Command::Keys(Keys::new(new.clone())));
+            keys = new;
         }
         for command in news {
             if commands.send(command).await.is_err() {
@@ -182,19 +196,18 @@
     }
 }
 
-/// The front as the one who runs versions.
-struct Runs {
+/// An instance and its store as the one who runs versions.
+struct Applies<I> {
     store: Option<FrontStore>,
-    in_use: Shared,
-    served: Arc<Served>,
-    before: (u64, u64),
+    instance: I,
+    before: Served,
     /// What was checked last, so that it is not read twice.
     next: Option<(Id, Arc<Version>)>,
     /// What was said last of a connection that was lost.
     lost: Option<String>,
 }
 
-impl Runs {
+impl<I> Applies<I> {
     /// Whether a write came to be; what stands in its way is told.
     fn stored(&self, write: impl FnOnce(&FrontStore) -> Result<(), doorgrade_store::Trouble>) -> bool {
         let Some(store) = &self.store else { return false };
@@ -208,9 +221,9 @@
     }
 }
 
-impl Host for Runs {
+impl<I: Instance> Host for Applies<I> {
     fn check(&mut self, id: &Id, content: &Content) -> Result<(), Reason> {
-        let version = sound(content, |v| lock(&self.in_use).needs_restart(v))?;
+        let version = sound(content, |v| self.instance.needs_restart(v))?;
         self.next = Some((*id, Arc::new(version)));
         Ok(())
     }
@@ -220,19 +233,7 @@
         let Some((_, version)) = self.next.take().filter(|next| next.0 == *id) else {
             return Err(not("it was not checked"));
         };
-        let (taken, done) = oneshot::channel();
-        {
-            let mut in_use = lock(&self.in_use);
-            let (renewal, _) = in_use.renewal(Some(&version)).map_err(|why| not(&why))?;
-            if in_use.send(Event::Version(Box::new(renewal), taken)).is_some() {
-                in_use.version = Some(version);
-            }
-        }
-        if done.await.is_err() {
-            // The front is ending, and this thread with it: nothing was refused.
-            std::future::pending::<()>().await;
-        }
-        Ok(())
+        self.instance.apply(id, &version).await.map_err(|why| not(&why))
     }
 
     fn stage(&mut self, id: Id, falls: u32) -> bool {
@@ -276,8 +277,9 @@
     }
 
     fn serves(&mut self) -> Option<f32> {
-        let now = (self.served.asked.load(Ordering::Relaxed), self.served.in_time.load(Ordering::Relaxed));
-        let (asked, in_time) = (now.0.saturating_sub(self.before.0), now.1.saturating_sub(self.before.1));
+        let now = self.instance.served();
+        let asked = now.asked.saturating_sub(self.before.asked);
+        let in_time = now.in_time.saturating_sub(self.before.in_time);
         self.before = now;
         // An access that is still open was asked, and may come in time in the next span.
         (asked > 0).then(|| (in_time as f32 / asked as f32).min(1.0))
--- a/crates/front/src/memory.rs
+++ b/crates/control-client/src/memory.rs
@@ -1,4 +1,4 @@
-//! What a front remembers, on disk and for neighbours: reads and writes, and hands all of it to [`Memory`], [`Asking`]
+//! What an instance remembers, on disk and for neighbours: reads and writes, and hands all of it to [`Memory`], [`Asking`]
 //! and [`Giving`], which decide. Off unless the operators' settings have it on.
 
 use std::net::SocketAddrV4;
@@ -14,8 +14,7 @@
 use doorgrade_store::{Records, Trouble};
 use serde::{Deserialize, Serialize};
 
-use crate::clock;
-use crate::reducer::Learned;
+use crate::{Learned, clock};
 
 const RECORD: &str = "memory";
 const HOMES: &str = "homes";
@@ -60,20 +59,21 @@
     postcard::from_bytes(&bytes).map(Some).map_err(|_| "the snapshot can't be read".into())
 }
 
+/// What is remembered, its store, and what is asked of and given to neighbours.
 pub struct Remember {
     own: Recall,
     name: String,
     memory: Memory,
     store: Option<Records>,
-    /// The life of the start before, if its snapshot says.
-    pub last_life: u64,
+    /// The incarnation of the start before, if its snapshot says.
+    pub last_incarnation: u64,
     written: Tenths,
     /// Something has come since.
     changed: bool,
     asking: Option<Asking>,
     giving: Giving,
     tally: Tally,
-    /// What was found at the start, for the front to hear before it serves.
+    /// What was found at the start, for the instance to hear before it serves.
     found: (Vec<Fill>, Vec<Purge>),
     found_homes: Option<(Tenths, Vec<Kept>)>,
     homes: Vec<Kept>,
@@ -100,7 +100,7 @@
             memory: Memory::new(rules),
             name: name.into(),
             store,
-            last_life: 0,
+            last_incarnation: 0,
             written: now,
             changed: false,
             asking: None,
@@ -125,7 +125,7 @@
             Err(why) => return tracing::error!("recall: its own snapshot is left out: {why}"),
         };
         if *snapshot.front == *self.name {
-            self.last_life = snapshot.life;
+            self.last_incarnation = snapshot.life;
         }
         if let Err(why) = snapshot.check(&self.name, self.memory.rules(), now) {
             return tracing::warn!("recall: its own snapshot is left out: {why}");
@@ -157,10 +157,12 @@
         None
     }
 
+    /// Homes of objects as they were before, and when that was written.
     pub fn homes(&self) -> Option<(Tenths, Vec<Kept>)> {
         self.found_homes.clone()
     }
 
+    /// What the snapshot had that still holds.
     pub fn found(&self) -> (Vec<Fill>, Vec<Purge>) {
         self.found.clone()
     }
@@ -185,11 +187,11 @@
     }
 
     /// Writes a snapshot, if there is anything new.
-    pub fn write(&mut self, now: Tenths, life: u64) {
+    pub fn write(&mut self, now: Tenths, incarnation: u64) {
         self.written = now;
         let Some(store) = self.store.as_ref().filter(|_| self.changed) else { return };
         let taken = clock::unix();
-        let snapshot = Snapshot::take(&self.memory, &self.name, life, taken);
+        let snapshot = Snapshot::take(&self.memory, &self.name, incarnation, taken);
         let (front, lists) = (self.name.as_str().into(), self.homes.clone());
         let homes = Homes { format: HOMES_FORMAT, front, taken, lists };
         let homes = (!homes.lists.is_empty()).then(|| postcard::to_stdvec(&homes)).transpose();
@@ -233,14 +235,17 @@
         self.asking.iter_mut().for_each(|a| a.met(now, true_for));
     }
 
+    /// Whether it still asks neighbours.
     pub fn asks(&self) -> bool {
         self.asking.as_ref().is_some_and(|a| !a.done)
     }
 
+    /// When the next question to a neighbour is due.
     pub fn late(&self) -> Option<Tenths> {
         self.asking.as_ref().and_then(Asking::due)
     }
 
+    /// Whom to ask for which page now.
     pub fn step(&mut self, now: Tenths, givers: &[Giver]) -> Vec<Asked> {
         let Some(asking) = self.asking.as_mut().filter(|a| !a.done) else { return Vec::new() };
         let asks = asking.step(now, givers);
@@ -250,6 +255,7 @@
         asks
     }
 
+    /// What a neighbour that asks for a page is given.
     pub fn page(&mut self, now: Tenths, to: SocketAddrV4, page: u16) -> Gave {
         let remembers = !self.found.0.is_empty();
         if self.asking.as_ref().is_some_and(|a| !a.gives(remembers)) {
@@ -258,7 +264,7 @@
         self.giving.page(now, clock::unix(), to, &self.memory, page)
     }
 
-    /// A page that was asked for has come; what of it is new is for the front to hear.
+    /// A page that was asked for has come; what of it is new is for the instance to hear.
     pub fn given(
         &mut self,
         from: SocketAddrV4,
@@ -275,14 +281,17 @@
         Some((fills, purges)).filter(|news| !news.0.is_empty() || !news.1.is_empty())
     }
 
+    /// The neighbour gives no more at the moment.
     pub fn busy(&mut self, now: Tenths, from: SocketAddrV4, page: u16) {
         self.asking.iter_mut().for_each(|a| a.busy(now, from, page));
     }
 
+    /// The neighbour has nothing to give.
     pub fn nothing(&mut self, now: Tenths, from: SocketAddrV4, page: u16) {
         self.asking.iter_mut().for_each(|a| a.nothing(now, from, page));
     }
 
+    /// Counts, for people.
     pub fn tells(&self) -> Remembers {
         let count = |source| self.memory.count(source) as u64;
         let asking = self.asking.as_ref();
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -23,8 +23,9 @@
 use crate::phase::Phase;
 use crate::push::{Line, Pools, State};
 use clients::Client;
+pub use doorgrade_control_client::Learned;
 use tiers::Tiers;
-pub use types::{Effect, Input, Learned, Made, Most, Served};
+pub use types::{Effect, Input, Made, Most, Served};
 use types::{LINGER, Listener, SILENT, SWEEP, TOLD, Taken, Timer, UNFINISHED, UNREAD, Work};
 
 pub struct Reducer {
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use doorgrade::{AccessId, Offering, Tenths};
+use doorgrade_control_client::Learned;
 use doorgrade_hierarchy::homes::Kept;
 use doorgrade_recall::{Fill, Purge};
 use rustc_hash::FxHashMap;
@@ -64,14 +65,6 @@
     Homes(Tenths, Vec<Kept>),
 }
 
-/// What the front has seen itself, for whoever remembers it. Times are the system's.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Learned {
-    Fill(Fill),
-    Purge(Purge),
-    Homes(Vec<Kept>),
-}
-
 /// One thing to do.
 #[derive(Debug)]
 pub enum Effect {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -2,53 +2,31 @@
 
 use std::collections::VecDeque;
 use std::io::Read;
-use std::path::PathBuf;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use doorgrade_control_client::configuration::StoredVersion;
+use doorgrade_control_client::neighbours::{Learning, Neighbourhood, Own};
+use doorgrade_control_client::worker::Worker;
 use doorgrade_log::{Format, LevelFilter};
-use doorgrade_operator::{Version, files, settings};
+use doorgrade_operator::files;
+use doorgrade_operator::settings::{self, Settings};
 use rustc_hash::FxHashMap;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
-use tokio::sync::{mpsc as queue, oneshot};
+use tokio::sync::oneshot;
 
 use doorgrade::Tenths;
 
 use crate::accept::{self, Acceptor};
 use crate::clock::{self, Clock};
-use crate::config::{Config, Renewal};
+use crate::config::Config;
 use crate::conn::{self, ConnId, Event, Port};
 use crate::fastcgi;
-use crate::neighbours::Beside;
-use crate::reducer::{Effect, Input, Learned, Made, Reducer};
-use crate::side::Side;
-use crate::versions::{Kept, Served};
-
-/// Where a front finds what it is told.
-#[derive(Clone, Debug, Default)]
-pub struct Place {
-    /// The platform's configuration.
-    pub config: PathBuf,
-    /// In place of the file's.
-    pub name: Option<String>,
-    pub listen: Option<String>,
-    /// The operators' settings; the usual file if it is there.
-    pub settings: Option<PathBuf>,
-}
-
-impl Place {
-    /// Reads and checks all of it.
-    pub fn read(&self) -> Result<Config, String> {
-        let path = &self.config;
-        let text = std::fs::read_to_string(path);
-        let text = text.map_err(|e| format!("PROXY_CONFIG: {}: {e}", path.display()))?;
-        let config = Config::read(&text, self.name.clone(), self.listen.clone())?;
-        let config = config.on(rustix::process::getrlimit(rustix::process::Resource::Nofile).current)?;
-        Ok(config.with(files::load(self.settings.as_deref()).map_err(|e| e.to_string())?))
-    }
-}
+use crate::in_use::{Controlled, InUse, Place, Served, Shared, lock};
+use crate::reducer::{Effect, Input, Made, Reducer};
 
 /// Serves until it is told to stop.
 pub fn serve(place: Place) -> Result<(), String> {
@@ -67,9 +45,12 @@
     may::config().set_workers(1).set_stack_size(0x1000);
     let (events, happened) = channel();
     // Before anything else: a version that is kept is what this start runs.
-    let kept = config.files.settings.versions.clone().map(|own| Kept::open(own, &place, &config));
-    let version = kept.as_ref().and_then(|kept| kept.version.clone());
-    let beside = Beside::read(&config, &settings)?;
+    let stored =
+        config.files.settings.versions.clone().map(|own| {
+            StoredVersion::open(own, &settings, config.seed, |version| config.needs_restart(version))
+        });
+    let version = stored.as_ref().and_then(|stored| stored.version.clone());
+    let neighbourhood = neighbourhood(&config, &settings)?;
     let first = config.clone();
     let config = match &version {
         Some(version) => config.overlaid(version),
@@ -78,8 +59,8 @@
     let in_use: Shared = Arc::new(Mutex::new(InUse { place, first, version, events: events.clone() }));
     let stop = heed_signals(in_use.clone(), events.clone()).map_err(|e| format!("signals: {e}"))?;
     let (listen, name) = (config.listen, config.name.clone());
-    let known = beside.as_ref().map(Beside::known);
-    let homes = beside.as_ref().and_then(Beside::homes);
+    let known = neighbourhood.as_ref().map(Neighbourhood::known);
+    let homes = neighbourhood.as_ref().and_then(Neighbourhood::homes);
     let within = Duration::from_micros(config.told.connect_within * 100);
     let mut clock = Clock::default();
     let served = Arc::new(Served::default());
@@ -92,7 +73,7 @@
         within,
         events,
         taken: None,
-        served: kept.is_some().then(|| served.clone()),
+        served: stored.is_some().then(|| served.clone()),
         learned: None,
         handed: 0,
     };
@@ -107,60 +88,31 @@
     tracing::info!("{name} listens on {}", acceptor.local);
     driver.acceptor = Some(acceptor);
     driver.reducer.input(clock.now(), Input::Listening);
-    let follows = kept.map(|kept| kept.follow(name, in_use, served)).transpose()?;
-    let speaks = match beside {
-        Some(beside) => Some(beside.start(driver.events.clone(), &mut driver.learned)?),
+    let controlled = Controlled { in_use, served };
+    let follows = stored.map(|stored| stored.follow(name, controlled)).transpose()?;
+    let exchanges = match neighbourhood {
+        Some(neighbourhood) => {
+            let events = driver.events.clone();
+            let recalled = move |fills, purges| drop(events.send(Event::Recall(fills, purges)));
+            let (worker, learned) = neighbourhood.start(Box::new(recalled))?;
+            driver.learned = learned;
+            Some(worker)
+        }
         None => None,
     };
     driver.run(&mut clock, &happened);
-    follows.into_iter().chain(speaks).for_each(Side::stop);
+    follows.into_iter().chain(exchanges).for_each(Worker::stop);
     tracing::info!("ends; at the most: {:?}", driver.reducer.most());
     Ok(())
 }
 
-/// What the configuration in use is made of. A signal and a version may both ask for another at the same time: whoever
-/// holds this makes one of the files and the version as they are then, and queues it before the other looks.
-pub struct InUse {
-    place: Place,
-    first: Config,
-    pub(crate) version: Option<Arc<Version>>,
-    events: Sender<Event>,
-}
-
-impl InUse {
-    /// The files read anew, with a version over them, and the keys that wait for a start.
-    pub(crate) fn renewal(&self, version: Option<&Version>) -> Result<(Renewal, Vec<&'static str>), String> {
-        let read = self.place.read()?;
-        Ok(self.first.renewal(match version {
-            Some(version) => read.overlaid(version),
-            None => read,
-        }))
-    }
-
-    pub(crate) fn needs_restart(&self, version: &Version) -> Vec<String> {
-        self.first.needs_restart(version)
-    }
-
-    /// None where the front is ending.
-    pub(crate) fn send(&self, event: Event) -> Option<()> {
-        self.events.send(event).ok()
-    }
-
-    fn reload(&self) {
-        let stays = |why| tracing::error!("{why}; the configuration in use stays");
-        let Ok((renewal, waits)) = self.renewal(self.version.as_deref()).map_err(stays) else { return };
-        waits
-            .iter()
-            .for_each(|key| tracing::warn!("configuration: key '{key}': a new start will take the change"));
-        self.send(Event::Reload(Box::new(renewal)));
-    }
-}
-
-/// One thing held by two threads.
-pub type Shared = Arc<Mutex<InUse>>;
-
-pub(crate) fn lock(shared: &Shared) -> MutexGuard<'_, InUse> {
-    shared.lock().unwrap_or_else(PoisonError::into_inner)
+/// What is exchanged with other fronts; none where all of it is off.
+fn neighbourhood(config: &Config, settings: &Path) -> Result<Option<Neighbourhood>, String> {
+    let Settings { neighbours, recall, .. } = config.files.settings.clone();
+    let told = &config.told.settings;
+    let (name, seed, purge_done) = (&config.name, config.seed, told.purge_done);
+    let own = Own { name, seed, settings, offerings: &told.offerings, purge_done };
+    Ok(Neighbourhood::read(neighbours, recall, &own)?)
 }
 
 /// A thread of its own hears signals and reads files, so that neither holds up the reducer. It waits at a pipe: the
@@ -248,7 +200,7 @@
     /// Where to put how it serves, if anybody looks.
     served: Option<Arc<Served>>,
     /// Where to put what was seen, if anybody remembers it, and when it was put there last.
-    learned: Option<queue::Sender<Vec<Learned>>>,
+    learned: Option<Learning>,
     handed: Tenths,
 }
 
