Versions: types of rollouts judged by evidence: reports, trials, changes, what is stored

Messages that fronts and the service add for trials stand at the end of their enums, so that today's peers read what they read before; rollouts in waves stay the default and nothing uses the rest yet.

--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -422,6 +422,15 @@
             format!("epoch {epoch} is opened: {because} is run, and not known here")
         }
         Line::Superseded { by } => format!("a service of epoch {by} is about: nothing is offered"),
+        Line::Trial { stage, changes, fronts } => {
+            format!("changes {changes:?}: on trial, {}, {fronts} fronts", stage.name())
+        }
+        Line::TakenOut { change, why } => format!("change {change}: taken out: {why}"),
+        Line::InForce(id) => format!("version {id}: in force"),
+        Line::UnderWatch { changes } => {
+            format!("service has fallen since changes {changes:?} came: each is tried without")
+        }
+        Line::WentOnUnproven { change } => format!("change {change}: too few accesses; it goes on unproven"),
     }
 }
 
@@ -440,5 +449,12 @@
             json!({"new_epoch": {"epoch": epoch, "because": because.to_string()}})
         }
         Line::Superseded { by } => json!({"superseded": {"epoch": by}}),
+        Line::Trial { stage, changes, fronts } => {
+            json!({"trial": {"stage": stage.name(), "changes": changes, "fronts": fronts}})
+        }
+        Line::TakenOut { change, why } => json!({"taken_out": {"change": change, "why": why.to_string()}}),
+        Line::InForce(id) => json!({"in_force": {"version": id.to_string()}}),
+        Line::UnderWatch { changes } => json!({"under_watch": {"changes": changes}}),
+        Line::WentOnUnproven { change } => json!({"unproven": {"change": change}}),
     }
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -86,6 +86,17 @@
                 "a service of epoch {by} is about, later than this one: nothing is offered"
             );
         }
+        Line::Trial { stage, changes, fronts } => {
+            tracing::info!("changes {changes:?}: on trial, {}, {fronts} fronts", stage.name());
+        }
+        Line::TakenOut { change, why } => tracing::warn!("change {change}: taken out: {why}"),
+        Line::InForce(id) => tracing::info!(version = %id, "version {id}: in force"),
+        Line::UnderWatch { changes } => {
+            tracing::warn!("service has fallen since changes {changes:?} came: each is tried without");
+        }
+        Line::WentOnUnproven { change } => {
+            tracing::warn!("change {change}: too few accesses to tell; it goes on unproven");
+        }
     }
 }
 
@@ -221,6 +232,7 @@
                 }
                 Do::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
                 Do::Tell(line) => self.tell(line),
+                Do::StoreTrials(_) | Do::Forget(_) => {}
             }
         }
         for conn in slow {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -6,7 +6,7 @@
 use doorgrade_operator::control::{Control, Papers, Role as Told, seal_keys};
 use doorgrade_operator::files::beside;
 use doorgrade_trust::rotation;
-use doorgrade_versions::service::{Role, Rules};
+use doorgrade_versions::service::{Role, RolloutMode, Rules};
 
 /// Where the settings stand, seen from where the program is started, if nobody says otherwise.
 pub const USUAL: &str = "deploy/control.hcl";
@@ -62,6 +62,7 @@
             most_fronts: *most_fronts as usize,
             history: p.history as usize,
             listen: p.listen_ms * 10,
+            rollout: RolloutMode::Waves,
         }
     }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -263,7 +263,7 @@
         let there = |n: &u64| versions.iter().any(|v| v.id.number == *n);
         let base = base.filter(there);
         let rollout = rollout.filter(|r| there(&r.id.number));
-        (ServiceFound { epoch, versions, base, rollout }, troubles)
+        (ServiceFound { epoch, versions, base, rollout, trials: None }, troubles)
     }
 
     pub fn put(&self, version: &Version) -> Result<(), Trouble> {
--- a/crates/stream/src/follow.rs
+++ b/crates/stream/src/follow.rs
@@ -251,6 +251,8 @@
                     Do::Unstage => self.host.unstage(),
                     Do::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
                     Do::Tell(line) => self.host.tell(line),
+                    // Counts are not read yet: the service does not ask for them where rollouts go in waves.
+                    Do::Report { .. } => {}
                 }
             }
             todo = out;
--- a/crates/versions/src/front.rs
+++ b/crates/versions/src/front.rs
@@ -37,6 +37,10 @@
     /// Call [`Front::due`] then.
     Wake(Tenths),
     Tell(Line),
+    /// Call [`Front::report`] now and then each `every`, in place of what was asked before; none: no more.
+    Report {
+        every: Option<Tenths>,
+    },
 }
 
 /// A line for the log.
@@ -113,6 +117,10 @@
     told_silent: bool,
     /// The earliest time asked for that has not come.
     wakes: Option<Tenths>,
+    /// How often the service wants to hear counts, on this connection.
+    report_every: Option<Tenths>,
+    /// Of the last report.
+    sequence: u64,
 }
 
 /// Twice is chance (a machine lost at the wrong moment), three times is the version.
@@ -127,6 +135,8 @@
 const CONTENT_WITHIN: Tenths = 300_000;
 /// A minute without word is worth a line.
 const TELL_SILENT: Tenths = 600_000;
+/// Reports go no more often, and no less: a quarter of a second is enough for a trial and costs some 500 bytes a second.
+pub const REPORT_EVERY: [Tenths; 2] = [2_500, 300_000];
 
 impl Front {
     /// At the start: what the store had is run by the shell before anything else (it is checked as any version;
@@ -164,6 +174,8 @@
             silent_since: Some(now),
             told_silent: false,
             wakes: None,
+            report_every: None,
+            sequence: 0,
         };
         if let Some((id, falls)) = found.staged {
             let falls = falls + 1;
@@ -221,6 +233,9 @@
             self.candidate = None;
         }
         self.next = None;
+        if self.report_every.take().is_some() {
+            out.push(Do::Report { every: None });
+        }
         self.wake(at, out);
     }
 
@@ -282,6 +297,10 @@
         }
         match message {
             ToFront::Welcome { .. } | ToFront::Alive => {}
+            ToFront::ReportEvery { millis } => {
+                self.report_every = Some(millis.saturating_mul(10).clamp(REPORT_EVERY[0], REPORT_EVERY[1]));
+                out.push(Do::Report { every: self.report_every });
+            }
             ToFront::Later { after } => {
                 out.push(Do::Close);
                 // As told, and a little more: nobody before its turn.
@@ -402,9 +421,23 @@
             out.push(Do::Tell(Line::NotStored(id)));
         }
         self.say(ToService::Runs { id, stored }, out);
+        // Where it is counted what it serves with this version, from here on.
+        if self.report_every.is_some() {
+            out.push(Do::Report { every: self.report_every });
+        }
         self.go_on(now, out);
     }
 
+    /// Counts since the process started: accesses that ended, and of those answered within the soft limit. Says nothing
+    /// where the service has not asked for it.
+    pub fn report(&mut self, asked: u64, answered: u64, out: &mut Vec<Do>) {
+        if self.report_every.is_some() {
+            self.sequence += 1;
+            let (running, sequence) = (self.runs(), self.sequence);
+            self.say(ToService::Report { running, asked, answered, sequence }, out);
+        }
+    }
+
     /// How it serves, from time to time.
     pub fn serves(&mut self, share: f32, out: &mut Vec<Do>) {
         self.say(ToService::Serves { share }, out);
--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -6,6 +6,7 @@
 //!   front has, wants and said; who lags, who is silent, who says what can't be; how fast returning fronts come in.
 //! - [`evidence`]: whether fronts with a change answer less than those without it. [`merge`]: changes laid on each other
 //!   or taken out.
+//! - [`trial`]: changes that overlap, each judged by what the fronts that have it answer against those that have not.
 //! - [`delta`], [`seal`]: a change against a version that the other side has; a content bound to its number.
 //!
 //! A version's place is its epoch and its number: a service that has lost its store, or found an older copy of it,
@@ -21,6 +22,7 @@
 pub mod message;
 pub mod seal;
 pub mod service;
+pub mod trial;
 
 use std::fmt;
 
--- a/crates/versions/src/message.rs
+++ b/crates/versions/src/message.rs
@@ -35,6 +35,16 @@
     Serves {
         share: f32,
     },
+    /// Counts since the process started: accesses that ended, and of those answered within the soft limit. Sent only where
+    /// the service has asked for it (`ReportEvery`).
+    Report {
+        /// What it runs at that moment.
+        running: Option<Id>,
+        asked: u64,
+        answered: u64,
+        /// Grows by one with each report of a process: one that is late or doubled is told by it.
+        sequence: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -57,6 +67,10 @@
     },
     /// Nothing new.
     Alive,
+    /// Report now and then this often, until the connection ends. The front keeps it within its own bounds.
+    ReportEvery {
+        millis: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/versions/src/service.rs
+++ b/crates/versions/src/service.rs
@@ -19,6 +19,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+pub use crate::trial::{
+    ChangeRow, ChangeState, Harm, RolloutMode, SavedChange, SavedTrials, Stage, ThinTraffic, TrialRules,
+};
 pub use ask::{Answer, Ask, Denied, Filter, Past, Role, Row, Totals};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -55,6 +58,7 @@
     /// A service that starts on what it finds in its store offers nothing for so long to fronts that run nothing: the
     /// store may be an older copy, and whoever ran what came after it has to be heard first.
     pub listen: Tenths,
+    pub rollout: RolloutMode,
 }
 
 impl Default for Rules {
@@ -75,6 +79,7 @@
             history: 64,
             // The longest pause between a front's tries: whoever lives has come by then.
             listen: 600_000,
+            rollout: RolloutMode::Waves,
         }
     }
 }
@@ -93,6 +98,10 @@
     },
     Wake(Tenths),
     Tell(Line),
+    /// What survives a restart where rollouts are judged by evidence; beside the state, in a record of its own.
+    StoreTrials(SavedTrials),
+    /// A version that nothing needs any more is to leave the store.
+    Forget(Id),
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -127,6 +136,27 @@
     Superseded {
         by: u64,
     },
+    /// A stage of trials begins, on so many fronts, for these changes.
+    Trial {
+        stage: Stage,
+        changes: Vec<u64>,
+        fronts: usize,
+    },
+    /// A change is in nobody's configuration any more, or on its way out of it.
+    TakenOut {
+        change: u64,
+        why: Harm,
+    },
+    /// Every connected front has confirmed what this change, and all before it, came to.
+    InForce(Id),
+    /// Everyone's service has fallen since these changes came: each is tried without.
+    UnderWatch {
+        changes: Vec<u64>,
+    },
+    /// Too few accesses to tell; the setting says that it goes on.
+    WentOnUnproven {
+        change: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -182,6 +212,10 @@
     Superseded {
         by: u64,
     },
+    /// So many changes wait for their trial.
+    QueueFull {
+        waiting: usize,
+    },
 }
 
 /// What a front was last known to be doing.
@@ -327,6 +361,7 @@
     pub versions: Vec<Version>,
     pub base: Option<u64>,
     pub rollout: Option<Saved>,
+    pub trials: Option<SavedTrials>,
 }
 
 impl Service {
--- a/crates/versions/src/service/ask.rs
+++ b/crates/versions/src/service/ask.rs
@@ -8,7 +8,7 @@
 use doorgrade_trust::rotation::{self, Objection};
 use serde::{Deserialize, Serialize};
 
-use super::{Do, NotPublished, Progress, Service, State, Status, Stop, Tenths};
+use super::{ChangeRow, Do, NotPublished, Progress, Service, State, Status, Stop, Tenths};
 use crate::seal::Keys;
 use crate::{Id, MOST_NAME};
 
@@ -60,6 +60,8 @@
     },
     /// What the service tells from now on; the shell keeps to it.
     Watch,
+    /// Changes lately published, where rollouts are judged by evidence: the newest first.
+    Changes,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -85,6 +87,7 @@
     },
     Watching,
     Line(super::Line),
+    Changes(Vec<ChangeRow>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,6 +127,9 @@
                 write!(f, "{bytes} bytes: expected {} at most", crate::MOST_CONTENT)
             }
             NotPublished::NoSuchVersion => f.write_str("that version is not kept here"),
+            NotPublished::QueueFull { waiting } => {
+                write!(f, "{waiting} changes wait for their trial: publish again when some have passed")
+            }
             NotPublished::NoKey => f.write_str("there is no key to seal it with"),
             NotPublished::Superseded { by } => write!(
                 f,
@@ -285,6 +291,7 @@
                 None => Answer::Denied(Denied::NoSuchVersion(number)),
             },
             Ask::Watch => Answer::Watching,
+            Ask::Changes => Answer::Changes(Vec::new()),
         }
     }
 
--- a/crates/versions/src/service/fronts.rs
+++ b/crates/versions/src/service/fronts.rs
@@ -216,7 +216,7 @@
                     }
                 }
             }
-            ToService::Serves { .. } => {}
+            ToService::Serves { .. } | ToService::Report { .. } => {}
         }
         self.look(now, out);
     }
--- a/crates/versions/tests/machines.rs
+++ b/crates/versions/tests/machines.rs
@@ -243,6 +243,9 @@
                     self.at(at.saturating_sub(self.now).max(1), Event::ServiceDue(life));
                 }
                 service::Do::Tell(line) => self.lines.push(line),
+                service::Do::StoreTrials(_) | service::Do::Forget(_) => {
+                    panic!("trials are stored where rollouts go in waves")
+                }
             }
         }
     }
--- a/crates/versions/tests/model.rs
+++ b/crates/versions/tests/model.rs
@@ -131,7 +131,7 @@
 
     fn start_service(&mut self) {
         let Disk { epoch, versions, base, rollout } = self.disk.clone();
-        let found = service::Found { epoch, versions, base, rollout };
+        let found = service::Found { epoch, versions, base, rollout, trials: None };
         let rules = Rules { soak: 0, canaries: 1, shares: vec![1.0], ..Rules::default() };
         let mut out = Vec::new();
         self.service = Some(Service::start(self.now, rules, keys(), found, &mut out));
@@ -193,6 +193,10 @@
                     self.service_wakes = Some(self.service_wakes.map_or(at, |w| w.min(at)))
                 }
                 service::Do::Tell(_) => {}
+                // Only where rollouts are judged by evidence.
+                service::Do::StoreTrials(_) | service::Do::Forget(_) => {
+                    self.broken = Some("trials are stored where rollouts go in waves")
+                }
             }
         }
     }
