Versions: overlapping rollouts judged by evidence; a harmful change goes out alone

In the mode 'evidence' changes queue, are tried in batches (each alone and all together, against a control group of the same stations), and go on as soon as the evidence allows; one batch is widened while the next is at its canaries. What is proven is stored before it is offered; arms only have their numbers reserved. The default stays 'waves'.

--- a/crates/versions/src/service/ask.rs
+++ b/crates/versions/src/service/ask.rs
@@ -261,6 +261,7 @@
                 Answer::NotPublished(NotPublished::Expected { last: self.last() })
             }
             Ask::RollBack { to, .. } => published(self.roll_back(now, to, out)),
+            Ask::Stop { number } if self.trials.is_some() => self.take_out(now, number, out),
             Ask::Stop { number } => {
                 let under_way = self.rollout.as_ref().filter(|r| r.stopped.is_none()).map(|r| r.id);
                 if under_way.is_none_or(|id| id.number != number) {
@@ -291,7 +292,7 @@
                 None => Answer::Denied(Denied::NoSuchVersion(number)),
             },
             Ask::Watch => Answer::Watching,
-            Ask::Changes => Answer::Changes(Vec::new()),
+            Ask::Changes => Answer::Changes(self.trials.as_ref().map_or(Vec::new(), |t| t.rows(MOST_ROWS))),
         }
     }
 
--- a/crates/versions/src/service/fronts.rs
+++ b/crates/versions/src/service/fronts.rs
@@ -7,7 +7,9 @@
 use crate::seal::Seal;
 use std::sync::Arc;
 
-use super::MOST_DELTAS;
+use super::{MOST_DELTAS, MOST_DELTAS_OF_TRIALS};
+use crate::evidence::Counts;
+use crate::trial::Trials;
 
 impl Service {
     /// A front's first word; whoever does not say it first is closed by the shell.
@@ -72,6 +74,7 @@
         }
         self.choose(at, out);
         self.offer(now, at, out);
+        self.trial_came(now, at, out);
     }
 
     /// How long a front has to wait until it may come in; none if it may now.
@@ -117,7 +120,9 @@
         let known = self.versions.get(&runs.number).is_some_and(|v| v.id == runs);
         let pruned = self.versions.first_key_value().is_some_and(|v| runs.number < *v.0);
         let strange = runs.epoch > self.epoch || runs.epoch == self.epoch && !known && !pruned;
-        if !strange {
+        let arms = |t: &Trials| t.given_out(runs.number);
+        let arm = runs.epoch == self.epoch && self.trials.as_ref().map_or(runs.number <= self.spent, arms);
+        if !strange || arm && self.keys.good(&runs, seal) {
             return;
         }
         if !self.keys.good(&runs, seal) {
@@ -152,7 +157,7 @@
     fn new_epoch(&mut self, because: Id, out: &mut Vec<Do>) {
         self.epoch = self.epoch.max(because.epoch) + 1;
         out.push(Do::Tell(Line::NewEpoch { epoch: self.epoch, because }));
-        (self.base, self.rollout, self.first) = (None, None, u64::MAX);
+        (self.base, self.rollout, self.first, self.spent) = (None, None, u64::MAX, 0);
         let old = std::mem::take(&mut self.versions);
         for (number, version) in (1..).zip(old.into_values()) {
             let version = Version { id: Id { epoch: self.epoch, number, ..version.id }, ..version };
@@ -162,6 +167,9 @@
         self.fronts.iter_mut().for_each(|f| (f.offered, f.account) = (None, (0, Account::Apart)));
         self.awaited.clear();
         self.store_state(out);
+        if let Some(trials) = &mut self.trials {
+            trials.reset(self.epoch, self.versions.len() as u64);
+        }
     }
 
     pub fn heard(&mut self, now: Tenths, conn: Conn, message: ToService, out: &mut Vec<Do>) {
@@ -187,6 +195,7 @@
                 front.sealed = front.sent.filter(|sent| sent.0 == id).map(|sent| sent.1).or(front.sealed);
                 self.account(at, id, Account::Runs);
                 self.offer(now, at, out);
+                self.on_trials(now, out, |t| t.confirmed(now, at, id));
             }
             ToService::TurnedDown { id, why } => {
                 if self.fronts[at].offered.is_some_and(|o| o.0 == id) {
@@ -195,8 +204,9 @@
                     self.fronts[at].turned_down = Some((id, why.clone()));
                     self.account(at, id, Account::Refused);
                     if let Some(r) = self.rollout.as_mut().filter(|r| r.id == id) {
-                        r.tally.first.get_or_insert(why);
+                        r.tally.first.get_or_insert(why.clone());
                     }
+                    self.on_trials(now, out, |t| t.turned_down(now, at, id, &why));
                 }
             }
             ToService::Serves { share } if share.is_finite() => {
@@ -216,23 +226,32 @@
                     }
                 }
             }
-            ToService::Serves { .. } | ToService::Report { .. } => {}
+            ToService::Serves { .. } => {}
+            ToService::Report { running, asked, answered, sequence } => {
+                let counts = Counts { asked, answered };
+                self.on_trials(now, out, |t| t.report(now, at, running, counts, sequence));
+            }
         }
         self.look(now, out);
     }
 
     fn answer(&mut self, at: usize, conn: Conn, id: Id, base: Option<Id>, out: &mut Vec<Do>) {
-        let Some(version) = self.versions.get(&id.number).filter(|v| v.id == id) else { return };
+        let version = self.versions.get(&id.number).filter(|v| v.id == id).map(|v| v.content.clone());
+        let tried = || self.trials.as_ref().and_then(|t| t.content(&id));
+        let Some(content) = version.or_else(tried) else { return };
         let Some(seal) = self.keys.seal(&id) else { return };
-        let content = version.content.clone();
         // Whatever it has been numbered: the same content is the same base.
-        let base = base.and_then(|b| self.versions.values().rev().find(|v| v.id.hash == b.hash));
-        let body = match base.map(|b| (b.id.hash, b.content.clone())) {
+        let known = |hash: [u8; 32]| {
+            let kept = || self.versions.values().rev().find(|v| v.id.hash == hash).map(|v| v.content.clone());
+            self.trials.as_ref().and_then(|t| t.base(&hash)).or_else(kept)
+        };
+        let most = if self.trials.is_some() { MOST_DELTAS_OF_TRIALS } else { MOST_DELTAS };
+        let body = match base.and_then(|b| Some((b.hash, known(b.hash)?))) {
             Some((hash, old)) => {
                 let known = self.deltas.iter().find(|d| d.0 == hash && d.1 == id.hash).map(|d| d.2.clone());
                 let steps = known.unwrap_or_else(|| {
                     let made = Arc::new(delta::between(&old, &content));
-                    self.deltas.truncate(MOST_DELTAS - 1);
+                    self.deltas.truncate(most - 1);
                     self.deltas.push_front((hash, id.hash, made.clone()));
                     made
                 });
@@ -249,6 +268,7 @@
         if let Some(at) = self.by_conn.remove(&conn) {
             // What it runs is what it said last, until it says otherwise.
             self.fronts[at].conn = None;
+            self.on_trials(now, out, |t| t.gone(now, at));
             self.look(now, out);
         }
     }
--- a/crates/versions/src/service/status.rs
+++ b/crates/versions/src/service/status.rs
@@ -13,6 +13,10 @@
         let waits = f.offered.filter(|o| Some(o.0) == goal);
         let state = match (goal, &f.turned_down, waits) {
             (Some(goal), ..) if f.runs == Some(goal) => State::Current,
+            // The same content under an earlier number.
+            (Some(goal), ..) if self.trials.is_some() && f.runs.is_some_and(|r| r.hash == goal.hash) => {
+                State::Current
+            }
             (Some(goal), Some((id, why)), _) if *id == goal => State::TurnedDown(why.clone()),
             (Some(_), _, Some((_, since))) if f.heard.max(since) < since + self.rules.answer_within => {
                 State::Offered
--- a/crates/versions/src/service/waves.rs
+++ b/crates/versions/src/service/waves.rs
@@ -13,6 +13,9 @@
         if let Some(by) = self.superseded {
             return Err(NotPublished::Superseded { by });
         }
+        if let Some(trials) = &self.trials {
+            return trials.may_publish(bytes);
+        }
         if expects != self.last() {
             return Err(NotPublished::Expected { last: self.last() });
         }
@@ -35,6 +38,9 @@
         out: &mut Vec<Do>,
     ) -> Result<Id, NotPublished> {
         self.may_publish(content.len(), expects)?;
+        if self.trials.is_some() {
+            return self.publish_change(now, content, note, expects, out);
+        }
         let id = Id::of(self.epoch, self.last() + 1, &content);
         if self.keys.seal(&id).is_none() {
             return Err(NotPublished::NoKey);
@@ -61,6 +67,11 @@
 
     /// It could not be stored: whoever hears of this before anything of it was sent has never published it.
     pub fn withdraw(&mut self, id: Id) {
+        if let Some(trials) = &mut self.trials {
+            trials.withdraw(id.number);
+            self.versions.remove(&id.number);
+            return;
+        }
         if self.rollout.as_ref().is_some_and(|r| r.id == id) {
             self.rollout = None;
             self.versions.remove(&id.number);
@@ -77,6 +88,9 @@
     /// Back to an older content, as a new number: it goes to all at once that it may, which is who runs the bad one.
     pub fn roll_back(&mut self, now: Tenths, number: u64, out: &mut Vec<Do>) -> Result<Id, NotPublished> {
         let content = self.versions.get(&number).ok_or(NotPublished::NoSuchVersion)?.content.clone();
+        if self.trials.is_some() {
+            return self.roll_back_trials(now, number, content, out);
+        }
         self.stop(Stop::ByHand, out);
         let note = format!("back to {number}");
         let id = self.publish(now, content, &note, self.last(), out)?;
@@ -169,6 +183,9 @@
         if self.superseded.is_some() {
             return None;
         }
+        if let Some(trials) = &self.trials {
+            return trials.goal(at);
+        }
         let base = self.base.and_then(|n| self.versions.get(&n)).map(|v| v.id);
         match &self.rollout {
             Some(r) if r.stopped.is_none() && self.turn(r, at) => Some(r.id),
@@ -177,6 +194,9 @@
     }
 
     pub(super) fn offer(&mut self, now: Tenths, at: usize, out: &mut Vec<Do>) {
+        if self.trials.is_some() {
+            return self.offer_trial(now, at, out);
+        }
         let Some(goal) = self.goal(at) else { return };
         let front = &mut self.fronts[at];
         let Some(conn) = front.conn else { return };
--- /dev/null
+++ b/crates/versions/src/trial/members.rs
@@ -0,0 +1,153 @@
+//! Fronts as trials see them: what each runs, what it is to have, and what it answers.
+
+use crate::evidence::Counts;
+use crate::{Id, Tenths};
+
+use super::contents::Key;
+
+/// Experiments that may be under way side by side; a front has a seat in each at most once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Slot {
+    Canary,
+    Wide,
+    Undo,
+}
+
+pub(super) const SLOTS: [Slot; 3] = [Slot::Canary, Slot::Wide, Slot::Undo];
+
+/// Where a front stands in an experiment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Group {
+    Arm(usize),
+    Control,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Seat {
+    pub group: Group,
+    /// Its long run before, which stays the same for as long as it sits there.
+    pub baseline: Counts,
+    /// Since the last look; none: it has not reported.
+    pub sample: Option<Counts>,
+    /// Since when it has its seat.
+    pub since: Tenths,
+    /// It was not there in time and another has taken part in its place; it is waited for no more.
+    pub replaced: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    running: Option<Id>,
+    counts: Counts,
+    sequence: u64,
+    at: Tenths,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Member {
+    pub station: u32,
+    pub connected: bool,
+    pub runs: Option<Id>,
+    /// The latest batch that is in what it runs.
+    pub lineage: u64,
+    /// The content that it is to have; none: what is proven.
+    pub place: Option<Key>,
+    /// Contents that it turned down: it is never given them again.
+    pub refused: Vec<[u8; 32]>,
+    pub seats: [Option<Seat>; SLOTS.len()],
+    /// It was told to report often.
+    pub fast: bool,
+    last: Option<Report>,
+    /// Its accesses on what was proven, in this span and the one before.
+    spans: [Counts; 2],
+    span_since: Tenths,
+}
+
+/// A baseline reaches back one to two of these: long against a trial, short against a day.
+const SPAN: Tenths = 600_000;
+/// Accesses a second that no front can have.
+const MOST_A_SECOND: u64 = 1_000_000;
+const MOST_REFUSED: usize = 16;
+
+fn add(to: &mut Counts, more: Counts) {
+    to.asked = to.asked.saturating_add(more.asked);
+    to.answered = to.answered.saturating_add(more.answered);
+}
+
+impl Member {
+    pub fn seat(&self, slot: Slot) -> Option<&Seat> {
+        self.seats[slot as usize].as_ref()
+    }
+
+    pub fn has_seat(&self) -> bool {
+        self.seats.iter().any(Option::is_some)
+    }
+
+    pub fn baseline(&self) -> Counts {
+        let mut both = self.spans[0];
+        add(&mut both, self.spans[1]);
+        both
+    }
+
+    pub fn reports(&self) -> bool {
+        self.last.is_some()
+    }
+
+    pub fn sit(&mut self, slot: Slot, group: Group, now: Tenths) {
+        let baseline = self.baseline();
+        self.seats[slot as usize] = Some(Seat { group, baseline, sample: None, since: now, replaced: false });
+    }
+
+    pub fn refuse(&mut self, hash: [u8; 32]) {
+        if !self.refused.contains(&hash) {
+            if self.refused.len() == MOST_REFUSED {
+                self.refused.remove(0);
+            }
+            self.refused.push(hash);
+        }
+    }
+
+    /// Its process is another one: counts begin anew.
+    pub fn restarted(&mut self) {
+        self.last = None;
+    }
+
+    /// What it answered between the last report and this, with what it ran throughout; none where that can't be told.
+    pub fn report(
+        &mut self,
+        now: Tenths,
+        running: Option<Id>,
+        counts: Counts,
+        sequence: u64,
+    ) -> Option<Counts> {
+        let before = self.last;
+        if before.is_some_and(|last| sequence <= last.sequence) {
+            return None;
+        }
+        self.last = Some(Report { running, counts, sequence, at: now });
+        let last = before?;
+        let asked = counts.asked.checked_sub(last.counts.asked)?;
+        let answered = counts.answered.checked_sub(last.counts.answered)?.min(asked);
+        // Reports that waited on their way come close together: a second more than has passed.
+        let seconds = (now.saturating_sub(last.at)) / 10_000 + 1;
+        let same = last.running == running && running == self.runs;
+        (same && asked <= seconds.saturating_mul(MOST_A_SECOND)).then_some(Counts { asked, answered })
+    }
+
+    /// Accesses on what is everyone's count for its long run.
+    pub fn ordinary(&mut self, now: Tenths, counts: Counts) {
+        if now >= self.span_since + SPAN {
+            self.spans = [Counts::default(), self.spans[0]];
+            self.span_since = now;
+        }
+        add(&mut self.spans[0], counts);
+    }
+
+    /// Takes part with what it answered since the last look; says whether that is the first time since.
+    pub fn sample(&mut self, slot: Slot, counts: Counts) -> bool {
+        let Some(seat) = &mut self.seats[slot as usize] else { return false };
+        let first = seat.sample.is_none();
+        add(seat.sample.get_or_insert_default(), counts);
+        first
+    }
+}
