Versions: control groups of sixteen, eight canaries, fronts with a long run first

The sequential test needs two intervals and enough fronts to know how they differ by themselves; without a baseline it does not decide. Fronts whose long run is known are chosen first; lay() returns a named struct.

--- a/crates/versions/src/trial/batch.rs
+++ b/crates/versions/src/trial/batch.rs
@@ -36,8 +36,18 @@
     }
 }
 
-/// Fewer fronts in an arm show nothing: one alone may be out of order.
-const LEAST_ARM: usize = 2;
+/// Fewer fronts in an arm show nothing: one alone may be out of order, and one may go.
+const LEAST_ARM: usize = 3;
+/// Fronts of the control group, if there are any: with fewer it shows too little of how fronts differ by themselves
+/// (by trial runs, 4 canaries beside 16: harmless after 1 s, beside 4: after 7.5 s).
+const LEAST_CONTROL: usize = 16;
+
+/// Changes laid on a base: each alone, and all of them.
+struct Laid {
+    changes: Vec<u64>,
+    singles: Vec<Arc<[u8]>>,
+    whole: Arc<[u8]>,
+}
 
 fn together(harm: Harm) -> Harm {
     match harm {
@@ -51,7 +61,7 @@
         TestSettings {
             false_stop: self.rules.false_stop,
             tolerated_drop: self.drop,
-            least_fronts: (arm.min(control) / 2).clamp(1, LEAST_ARM),
+            least_fronts: arm.min(control).clamp(1, LEAST_ARM),
         }
     }
 
@@ -74,7 +84,7 @@
         let connected = self.members.iter().filter(|m| m.connected).count();
         // So many fronts may have what is not proven; the others of the pool are the control group.
         let room = match &self.wide {
-            Some(_) => 2 * there / 3,
+            Some(_) => there.saturating_sub(LEAST_CONTROL.max(there / 3)),
             None => ((self.rules.share * connected as f64) as usize).min(there / 2),
         };
         if self.wide.is_some() && room < LEAST_ARM {
@@ -87,16 +97,17 @@
             Some(first) if alone(&first) => vec![*first],
             _ => self.queue.iter().take_while(|n| !alone(n)).take(most).copied().collect(),
         };
-        let Some((changes, singles, whole)) = self.lay(now, base, &picked) else { return };
+        let Some(Laid { changes, singles, whole }) = self.lay(now, base, &picked) else { return };
         let lineage = self.next_lineage();
         let below = base.map_or(0, |key| self.contents.lineage(key));
         let arms = if changes.len() == 1 { 1 } else { changes.len() + 1 };
         let size = (room / arms).clamp(1, self.rules.canaries.max(1));
-        let control = if self.wide.is_some() { there.saturating_sub(arms * size) } else { arms * size };
-        let settings = self.settings(size, control.min(arms * size));
+        let wanted = (arms * size).max(LEAST_CONTROL);
+        let control = wanted.min(there.saturating_sub(arms * size)).max(1);
+        let settings = self.settings(size, control);
         let hash = base.and_then(|key| self.contents.id(key)).map(|id| id.hash);
         let mut experiment = Experiment::new(Slot::Canary, now, hash);
-        experiment.control_size = control.min(arms * size).max(1);
+        experiment.control_size = control;
         experiment.others = connected;
         // Single ones first: whoever goes from one of them to all together goes to a greater number.
         if changes.len() > 1 {
@@ -132,13 +143,7 @@
     }
 
     /// Each change alone on the base, and all of them. What can't be laid on it goes out.
-    #[allow(clippy::type_complexity)]
-    fn lay(
-        &mut self,
-        now: Tenths,
-        base: Option<Key>,
-        picked: &[u64],
-    ) -> Option<(Vec<u64>, Vec<Arc<[u8]>>, Arc<[u8]>)> {
+    fn lay(&mut self, now: Tenths, base: Option<Key>, picked: &[u64]) -> Option<Laid> {
         let base: Arc<[u8]> = base.and_then(|key| self.contents.bytes(key)).unwrap_or_default();
         let (mut changes, mut singles, mut whole) = (Vec::new(), Vec::new(), base.clone());
         for &number in picked {
@@ -155,7 +160,7 @@
             changes.push(number);
             singles.push(single);
         }
-        (!changes.is_empty()).then_some((changes, singles, whole))
+        (!changes.is_empty()).then_some(Laid { changes, singles, whole })
     }
 
     pub(super) fn set_state(&mut self, number: u64, state: ChangeState) {
@@ -212,7 +217,7 @@
         (experiment.control_size, experiment.others) =
             (batch.experiment.control_size, batch.experiment.others);
         for count in 2..changes.len() {
-            let Some((.., whole)) = self.lay(now, base, &changes[..count]) else { return };
+            let Some(Laid { whole, .. }) = self.lay(now, base, &changes[..count]) else { return };
             let key = self.contents.make(now, whole, "", below);
             experiment.arms.push(Arm::new(Purpose::Prefix(count), key, size, settings));
         }
@@ -279,7 +284,7 @@
         self.vacate(Slot::Canary);
         // All that have any of it are in it, so that no more than the share ever had.
         let size = ((self.rules.share * connected as f64) as usize).max(tried.len()).max(1);
-        let control = size.min(connected.saturating_sub(size)).max(1);
+        let control = size.max(LEAST_CONTROL).min(connected.saturating_sub(size)).max(1);
         let hash = batch.base.and_then(|key| self.contents.id(key)).map(|id| id.hash);
         let mut experiment = Experiment::new(Slot::Wide, now, hash);
         let settings = self.settings(size, control);
@@ -347,6 +352,6 @@
             |at: &&usize| members[**at].connected && members[**at].runs.is_none_or(|r| r.hash != hash);
         let count = arm.fronts.iter().filter(lacks).count();
         let harm = Harm::Missing { count, of: arm.given };
-        (count > LEAST_ARM && 2 * count > arm.given).then_some((arm.purpose, harm))
+        (count >= LEAST_ARM && 2 * count > arm.given).then_some((arm.purpose, harm))
     })
 }
--- a/crates/versions/src/trial/choose.rs
+++ b/crates/versions/src/trial/choose.rs
@@ -73,7 +73,7 @@
         };
         let mut fronts: Vec<usize> = (0..self.members.len()).filter(may).collect();
         // The last of a station's is taken first.
-        fronts.sort_by_key(|&at| (self.members[at].reports(), mixed(seed ^ mixed(at as u64))));
+        fronts.sort_by_key(|&at| (self.members[at].known(), mixed(seed ^ mixed(at as u64))));
         let mut stations: BTreeMap<u32, Vec<usize>> = BTreeMap::new();
         let left = fronts.len();
         fronts.into_iter().for_each(|at| stations.entry(self.members[at].station).or_default().push(at));
--- a/crates/versions/src/trial/members.rs
+++ b/crates/versions/src/trial/members.rs
@@ -67,6 +67,8 @@
 const SPAN: Tenths = 600_000;
 /// Accesses a second that no front can have.
 const MOST_A_SECOND: u64 = 1_000_000;
+/// Some ten seconds of a front with ordinary traffic.
+const LEAST_BASELINE: u64 = 10_000;
 const MOST_REFUSED: usize = 16;
 
 fn add(to: &mut Counts, more: Counts) {
@@ -89,8 +91,9 @@
         both
     }
 
-    pub fn reports(&self) -> bool {
-        self.last.is_some()
+    /// Whether its long run says something.
+    pub fn known(&self) -> bool {
+        self.baseline().asked >= LEAST_BASELINE
     }
 
     pub fn sit(&mut self, slot: Slot, group: Group, now: Tenths) {
--- a/crates/versions/src/trial/types.rs
+++ b/crates/versions/src/trial/types.rs
@@ -51,7 +51,7 @@
 impl Default for TrialRules {
     fn default() -> TrialRules {
         TrialRules {
-            canaries: 4,
+            canaries: 8,
             share: 0.1,
             watch: 300_000,
             evidence_within: 100_000,
--- a/crates/versions/tests/trial_world/mod.rs
+++ b/crates/versions/tests/trial_world/mod.rs
@@ -218,7 +218,8 @@
     /// One where a first content is everyone's, known, and each front has a long run.
     pub fn settled(seed: u64, fronts: usize, rules: Rules) -> World {
         let mut world = World::new(seed, fronts, rules);
-        world.pass(2 * SECOND);
+        // Each is known by its long run before anything is tried.
+        world.pass(40 * SECOND);
         let first: String = (0..LINES).map(|n| format!("member {n} = 0\n")).collect();
         let first = format!("{first}end c0;\n");
         let id = world.publish_content(&first, "c0;", 0).expect("the first is published");
