Versions: hard cases of overlapping rollouts as tests, and what they found

They found, each mended here: a front that ran a content before it became everyone's was never counted as having it, so the change was never told in force; a change that builds on a harmful one could be blamed for it; a tenth of the fronts restarting took a change out (by chance under 1e-5 now, not 1e-3); after a restart of the service a trial began before any front was known by its long run, and never ended; fronts whose counts contradict themselves are not chosen for a minute; what came of settled changes is stored.

--- a/crates/versions/src/service/evidence.rs
+++ b/crates/versions/src/service/evidence.rs
@@ -31,7 +31,14 @@
         let undo = delta::between(&after.content, &before);
         let change = SavedChange { number, note: after.note.clone(), undo, watched: false };
         let (epoch, proven, head) = (self.epoch, self.base, Some(number));
-        Some(SavedTrials { epoch, reserved: self.last(), proven, head, changes: vec![change] })
+        Some(SavedTrials {
+            epoch,
+            reserved: self.last(),
+            proven,
+            head,
+            changes: vec![change],
+            settled: Vec::new(),
+        })
     }
 
     /// Something happens that the trials are to know of.
--- a/crates/versions/src/trial/batch.rs
+++ b/crates/versions/src/trial/batch.rs
@@ -1,11 +1,11 @@
-//! A batch of changes on its way: the canary experiment, the wide one, and what follows from their verdicts.
+//! A batch of changes at its canaries: each alone and all of them together, and what follows from the verdicts.
 
 use std::sync::Arc;
 
 use super::contents::Key;
 use super::experiment::{Arm, Experiment, Purpose};
-use super::members::{Group, Slot};
-use super::{ChangeState, Harm, MOST_BATCH, Stage, ThinTraffic, Trials};
+use super::members::Slot;
+use super::{ChangeState, Harm, MOST_BATCH, Stage, Step, ThinTraffic, Trials};
 use crate::evidence::TestSettings;
 use crate::service::Line;
 use crate::{Tenths, merge};
@@ -21,6 +21,8 @@
     pub experiment: Experiment,
     /// Its canary experiment is over; it waits for the wide one before it.
     pub passed: bool,
+    /// Begun when too few fronts were known by their long run.
+    blind: bool,
 }
 
 impl Batch {
@@ -29,7 +31,21 @@
         self.content == key || self.experiment.arms.iter().any(|a| a.content == key)
     }
 
-    fn purpose_harm(&self, refused: f64, of: impl Fn(Purpose) -> bool) -> Option<(Purpose, Harm)> {
+    /// The first change that does harm by itself.
+    fn harmful_single(&self, refused: f64) -> Option<(u64, Harm)> {
+        let lost = self.experiment.lost();
+        let mut before = true;
+        for arm in &self.experiment.arms {
+            let Purpose::Single(number) = arm.purpose else { continue };
+            if let Some(harm) = arm.harm(refused, lost).filter(|_| before || !arm.builds) {
+                return Some((number, harm));
+            }
+            before &= arm.harmless();
+        }
+        None
+    }
+
+    pub(super) fn purpose_harm(&self, refused: f64, of: impl Fn(Purpose) -> bool) -> Option<(Purpose, Harm)> {
         let lost = self.experiment.lost();
         let arms = self.experiment.arms.iter().filter(|a| of(a.purpose));
         arms.filter_map(|a| Some((a.purpose, a.harm(refused, lost)?))).next()
@@ -40,12 +56,13 @@
 const LEAST_ARM: usize = 3;
 /// Fronts of the control group, if there are any: with fewer it shows too little of how fronts differ by themselves
 /// (by trial runs, 4 canaries beside 16: harmless after 1 s, beside 4: after 7.5 s).
-const LEAST_CONTROL: usize = 16;
+pub(super) const LEAST_CONTROL: usize = 16;
 
 /// Changes laid on a base: each alone, and all of them.
 struct Laid {
     changes: Vec<u64>,
-    singles: Vec<Arc<[u8]>>,
+    /// With whether it had to be laid on those before it, too.
+    singles: Vec<(Arc<[u8]>, bool)>,
     whole: Arc<[u8]>,
 }
 
@@ -57,7 +74,7 @@
 }
 
 impl Trials {
-    fn settings(&self, arm: usize, control: usize) -> TestSettings {
+    pub(super) fn settings(&self, arm: usize, control: usize) -> TestSettings {
         TestSettings {
             false_stop: self.rules.false_stop,
             tolerated_drop: self.drop,
@@ -80,7 +97,13 @@
     fn open_canary(&mut self, now: Tenths) {
         let base = self.wide.as_ref().map(|w| w.content).or(self.proven);
         let seed = self.lineage + 1;
-        let there = self.pool(base, seed).left();
+        let pool = self.pool(now, base, seed);
+        let (there, blind) = (pool.left(), pool.known() < pool.left().min(2 * LEAST_CONTROL));
+        // After a start fronts are known within some reports of theirs.
+        if blind && now < self.waits_until(now) {
+            return;
+        }
+        self.known_by = None;
         let connected = self.members.iter().filter(|m| m.connected).count();
         // So many fronts may have what is not proven; the others of the pool are the control group.
         let room = match &self.wide {
@@ -111,9 +134,10 @@
         experiment.others = connected;
         // Single ones first: whoever goes from one of them to all together goes to a greater number.
         if changes.len() > 1 {
-            for (number, content) in changes.iter().zip(singles) {
+            for (number, (content, builds)) in changes.iter().zip(singles) {
                 let key = self.contents.make(now, content, "", below);
-                experiment.arms.push(Arm::new(Purpose::Single(*number), key, size, settings));
+                let arm = Arm::new(Purpose::Single(*number), key, size, settings);
+                experiment.arms.push(Arm { builds, ..arm });
             }
         }
         let content = self.whole(now, &changes, whole, lineage);
@@ -123,7 +147,7 @@
             self.queue.remove(number);
             self.set_state(*number, ChangeState::Canary);
         }
-        let mut batch = Batch { changes, base, content, lineage, experiment, passed: false };
+        let mut batch = Batch { changes, base, content, lineage, experiment, passed: false, blind };
         self.dirty = true;
         self.fill(now, &mut batch);
         let fronts = batch.experiment.arms.iter().map(|a| a.fronts.len()).sum();
@@ -131,6 +155,13 @@
         self.canary = Some(batch);
     }
 
+    /// Until when fronts may still become known by their long run.
+    fn waits_until(&mut self, now: Tenths) -> Tenths {
+        let until = *self.known_by.get_or_insert(now + self.rules.evidence_within);
+        self.steps.push(Step::Wake((now + self.rules.report_fast).min(until)));
+        until
+    }
+
     /// The number that a change was published under can be its content's where no front can run a later one.
     fn whole(&mut self, now: Tenths, changes: &[u64], content: Arc<[u8]>, lineage: u64) -> Key {
         let newest = self.contents.newest;
@@ -156,7 +187,8 @@
             };
             whole = all.into();
             // One that builds on another of the batch can only be tried with it.
-            let single = merge::merge(&before, &after, &base).map_or_else(|_| whole.clone(), Into::into);
+            let alone = merge::merge(&before, &after, &base);
+            let single = alone.map_or_else(|_| (whole.clone(), true), |alone| (alone.into(), false));
             changes.push(number);
             singles.push(single);
         }
@@ -172,7 +204,7 @@
     pub(super) fn judge_canary(&mut self, now: Tenths) {
         let Some(batch) = &self.canary else { return };
         let single = |p| matches!(p, Purpose::Single(_));
-        if let Some((Purpose::Single(number), harm)) = batch.purpose_harm(self.refused, single) {
+        if let Some((number, harm)) = batch.harmful_single(self.refused) {
             return self.take_out(now, number, harm);
         }
         if batch.passed {
@@ -258,6 +290,11 @@
             };
             return number.into_iter().for_each(|n| self.take_out(now, n, harm.1.clone()));
         }
+        if self.rules.thin_traffic == ThinTraffic::Wait && batch.blind {
+            // Perhaps they are known by now.
+            self.abandon(Slot::Canary);
+            return self.advance(now);
+        }
         if self.rules.thin_traffic == ThinTraffic::GoOn {
             batch.passed = true;
             let changes = batch.changes.clone();
@@ -266,7 +303,7 @@
         }
     }
 
-    fn unproven(&mut self, changes: &[u64]) {
+    pub(super) fn unproven(&mut self, changes: &[u64]) {
         for &number in changes {
             if let Some(change) = self.changes.get_mut(&number).filter(|c| !c.unproven) {
                 change.unproven = true;
@@ -274,70 +311,6 @@
             }
         }
     }
-
-    // ---- the wide experiment
-
-    fn open_wide(&mut self, now: Tenths) {
-        let Some(mut batch) = self.canary.take() else { return };
-        let connected = self.members.iter().filter(|m| m.connected).count();
-        let tried: Vec<usize> = batch.experiment.arms.iter().flat_map(|a| a.fronts.iter().copied()).collect();
-        self.vacate(Slot::Canary);
-        // All that have any of it are in it, so that no more than the share ever had.
-        let size = ((self.rules.share * connected as f64) as usize).max(tried.len()).max(1);
-        let control = size.max(LEAST_CONTROL).min(connected.saturating_sub(size)).max(1);
-        let hash = batch.base.and_then(|key| self.contents.id(key)).map(|id| id.hash);
-        let mut experiment = Experiment::new(Slot::Wide, now, hash);
-        let settings = self.settings(size, control);
-        let mut arm = Arm::new(Purpose::Combined, batch.content, size, settings);
-        (experiment.control_size, experiment.others) = (control, connected);
-        arm.given = tried.len();
-        for &at in &tried {
-            let m = &mut self.members[at];
-            m.place = Some(batch.content);
-            m.sit(Slot::Wide, Group::Arm(0), now);
-            self.aim(at);
-        }
-        arm.fronts = tried;
-        experiment.arms.push(arm);
-        batch.experiment = experiment;
-        for number in &batch.changes {
-            self.set_state(*number, ChangeState::Wide);
-        }
-        self.fill(now, &mut batch);
-        self.repace();
-        let fronts = batch.experiment.arms[0].fronts.len();
-        self.tell(Line::Trial { stage: Stage::Wide, changes: batch.changes.clone(), fronts });
-        self.wide = Some(batch);
-        self.advance(now);
-    }
-
-    pub(super) fn judge_wide(&mut self, now: Tenths) {
-        let Some(batch) = &self.wide else { return };
-        if let Some((_, harm)) = batch.purpose_harm(self.refused, |_| true) {
-            return match batch.changes[..] {
-                [number] => self.take_out(now, number, harm),
-                // Whose fault it is shows when each is tried in a batch of its own.
-                _ => self.apart(now),
-            };
-        }
-        let proven = batch.experiment.arms.iter().all(|a| a.harmless());
-        let late = now >= batch.experiment.since + self.rules.evidence_within;
-        let goes_on = proven || late && self.rules.thin_traffic == ThinTraffic::GoOn;
-        if !goes_on {
-            return;
-        }
-        let Some(batch) = self.wide.take() else { return };
-        if !proven {
-            self.unproven(&batch.changes);
-        }
-        self.vacate(Slot::Wide);
-        self.members.iter_mut().filter(|m| m.place == Some(batch.content)).for_each(|m| m.place = None);
-        let fronts = self.members.iter().filter(|m| m.connected).count();
-        self.tell(Line::Trial { stage: Stage::Everywhere, changes: batch.changes.clone(), fronts });
-        self.prove(now, batch.content, batch.lineage, batch.changes);
-        self.repace();
-        self.advance(now);
-    }
 }
 
 /// An arm most of whose fronts are connected and have not taken what they were given.
--- a/crates/versions/src/trial/changes.rs
+++ b/crates/versions/src/trial/changes.rs
@@ -125,6 +125,9 @@
         self.dirty = true;
         self.spreads.push_back(Spread { lineage, changes, not_before: now });
         for at in 0..self.members.len() {
+            // Whoever ran this content before it was everyone's has all that is in it.
+            let m = &self.members[at];
+            self.count(at, m.connected, m.runs);
             if self.members[at].place.is_none() {
                 self.aim(at);
             }
--- a/crates/versions/src/trial/choose.rs
+++ b/crates/versions/src/trial/choose.rs
@@ -14,6 +14,8 @@
     of: BTreeMap<u32, usize>,
     next: usize,
     left: usize,
+    /// How many of them are known by their long run.
+    known: usize,
 }
 
 /// A well-mixed number, so that it is not always the same fronts that go first (SplitMix64).
@@ -29,6 +31,10 @@
         self.left
     }
 
+    pub fn known(&self) -> usize {
+        self.known
+    }
+
     fn pop(&mut self, index: usize) -> Option<usize> {
         let at = self.stations.get_mut(index)?.1.pop()?;
         self.left -= 1;
@@ -57,7 +63,7 @@
 impl Trials {
     /// Fronts that may take part where `base` is what the changes are laid on: those in the wide experiment where that
     /// is its content, or else those that have no part in anything. Whoever has said how it serves comes first.
-    pub(super) fn pool(&self, base: Option<Key>, seed: u64) -> Pool {
+    pub(super) fn pool(&self, now: Tenths, base: Option<Key>, seed: u64) -> Pool {
         let wide = self.wide.as_ref().map(|w| w.content).filter(|w| Some(*w) == base);
         let may = |at: &usize| {
             let m = &self.members[*at];
@@ -69,18 +75,19 @@
                 }
                 None => m.place.is_none() && !m.has_seat(),
             };
-            m.connected && free
+            m.connected && free && m.believed(now)
         };
         let mut fronts: Vec<usize> = (0..self.members.len()).filter(may).collect();
         // The last of a station's is taken first.
         fronts.sort_by_key(|&at| (self.members[at].known(), mixed(seed ^ mixed(at as u64))));
         let mut stations: BTreeMap<u32, Vec<usize>> = BTreeMap::new();
         let left = fronts.len();
+        let known = fronts.iter().filter(|&&at| self.members[at].known()).count();
         fronts.into_iter().for_each(|at| stations.entry(self.members[at].station).or_default().push(at));
         let mut stations: Vec<(u32, Vec<usize>)> = stations.into_iter().collect();
         stations.sort_by_key(|s| mixed(seed ^ u64::from(s.0)));
         let of = stations.iter().enumerate().map(|(index, s)| (s.0, index)).collect();
-        Pool { stations, of, next: 0, left }
+        Pool { stations, of, next: 0, left, known }
     }
 
     /// Brings each arm and the control group to their sizes.
@@ -94,7 +101,7 @@
         if control == 0 && wants.iter().all(|&w| w == 0) {
             return;
         }
-        let mut pool = self.pool(batch.base, batch.lineage ^ now);
+        let mut pool = self.pool(now, batch.base, batch.lineage ^ now);
         let slot = experiment.slot;
         for (arm, want) in wants.into_iter().enumerate() {
             let content = batch.experiment.arms[arm].content;
--- a/crates/versions/src/trial/events.rs
+++ b/crates/versions/src/trial/events.rs
@@ -25,7 +25,7 @@
     }
 
     /// Counts it among the connected by what it runs.
-    fn count(&mut self, at: usize, connected: bool, runs: Option<Id>) {
+    pub(super) fn count(&mut self, at: usize, connected: bool, runs: Option<Id>) {
         let lineage = runs.map_or(0, |id| self.lineage_of(&id));
         let m = &mut self.members[at];
         if m.connected
--- a/crates/versions/src/trial/experiment.rs
+++ b/crates/versions/src/trial/experiment.rs
@@ -22,6 +22,8 @@
 pub(super) struct Arm {
     pub purpose: Purpose,
     pub content: Key,
+    /// It can't be tried without those before it: what they do is not its fault.
+    pub builds: bool,
     /// How many fronts it is to have.
     pub size: usize,
     pub fronts: Vec<usize>,
@@ -39,6 +41,7 @@
         Arm {
             purpose,
             content,
+            builds: false,
             size,
             fronts: Vec::new(),
             comparison: Comparison::new(settings),
@@ -73,7 +76,7 @@
 }
 
 /// Fronts that go while others stay: less likely than this by chance, and what they were given is to blame.
-const MISSING_BY_CHANCE: f64 = 1e-3;
+const MISSING_BY_CHANCE: f64 = 1e-5;
 
 /// Probability that of `of` fronts at least `count` go, where each goes with probability `p`.
 fn tail(of: usize, count: usize, p: f64) -> f64 {
--- a/crates/versions/src/trial/members.rs
+++ b/crates/versions/src/trial/members.rs
@@ -58,6 +58,8 @@
     /// It was told to report often.
     pub fast: bool,
     last: Option<Report>,
+    /// When its counts contradicted themselves last.
+    contradicts: Option<Tenths>,
     /// Its accesses on what was proven, in this span and the one before.
     spans: [Counts; 2],
     span_since: Tenths,
@@ -67,8 +69,9 @@
 const SPAN: Tenths = 600_000;
 /// Accesses a second that no front can have.
 const MOST_A_SECOND: u64 = 1_000_000;
-/// Some ten seconds of a front with ordinary traffic.
-const LEAST_BASELINE: u64 = 10_000;
+/// Some seconds of a front with ordinary traffic.
+const LEAST_BASELINE: u64 = 4_000;
+const SLACK: u64 = 16;
 const MOST_REFUSED: usize = 16;
 
 fn add(to: &mut Counts, more: Counts) {
@@ -96,6 +99,11 @@
         self.baseline().asked >= LEAST_BASELINE
     }
 
+    /// Whether its counts have not contradicted themselves lately.
+    pub fn believed(&self, now: Tenths) -> bool {
+        self.contradicts.is_none_or(|at| now >= at + SPAN)
+    }
+
     pub fn sit(&mut self, slot: Slot, group: Group, now: Tenths) {
         let baseline = self.baseline();
         self.seats[slot as usize] = Some(Seat { group, baseline, sample: None, since: now, replaced: false });
@@ -129,12 +137,21 @@
         }
         self.last = Some(Report { running, counts, sequence, at: now });
         let last = before?;
-        let asked = counts.asked.checked_sub(last.counts.asked)?;
-        let answered = counts.answered.checked_sub(last.counts.answered)?.min(asked);
         // Reports that waited on their way come close together: a second more than has passed.
-        let seconds = (now.saturating_sub(last.at)) / 10_000 + 1;
-        let same = last.running == running && running == self.runs;
-        (same && asked <= seconds.saturating_mul(MOST_A_SECOND)).then_some(Counts { asked, answered })
+        let most = (now.saturating_sub(last.at) / 10_000 + 1).saturating_mul(MOST_A_SECOND);
+        let grown = |before: u64, after: u64| after.checked_sub(before);
+        let asked = grown(last.counts.asked, counts.asked).filter(|asked| *asked <= most);
+        let answered = grown(last.counts.answered, counts.answered);
+        // The two may have been read a moment apart: some more than there can be are no contradiction.
+        let some = |asked: u64| asked.saturating_add(asked / 4).saturating_add(SLACK);
+        let (Some(asked), Some(answered)) =
+            (asked, answered.filter(|n| asked.is_some_and(|of| *n <= some(of))))
+        else {
+            self.contradicts = Some(now);
+            return None;
+        };
+        let answered = answered.min(asked);
+        (last.running == running && running == self.runs).then_some(Counts { asked, answered })
     }
 
     /// Accesses on what is everyone's count for its long run.
--- a/crates/versions/src/trial/mod.rs
+++ b/crates/versions/src/trial/mod.rs
@@ -22,6 +22,7 @@
 mod saved;
 mod take_out;
 mod types;
+mod wide;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -97,6 +98,8 @@
     queue: BTreeSet<u64>,
     canary: Option<Batch>,
     wide: Option<Batch>,
+    /// A batch waits until then for fronts to be known by their long run.
+    known_by: Option<Tenths>,
     spreads: VecDeque<Spread>,
     settled: VecDeque<ChangeRow>,
     members: Vec<Member>,
@@ -131,6 +134,7 @@
             queue: BTreeSet::new(),
             canary: None,
             wide: None,
+            known_by: None,
             spreads: VecDeque::new(),
             settled: VecDeque::new(),
             members: Vec::new(),
--- a/crates/versions/src/trial/saved.rs
+++ b/crates/versions/src/trial/saved.rs
@@ -8,6 +8,9 @@
 use crate::service::Version;
 use crate::{Tenths, delta};
 
+/// Settled changes that are stored: whoever waits for one asks again within minutes.
+const MOST_SAVED: usize = 100;
+
 impl Trials {
     pub(crate) fn saved(&self) -> SavedTrials {
         let number = |key: Option<u64>| key.and_then(|k| self.contents.id(k)).map(|id| id.number);
@@ -26,6 +29,7 @@
             proven: number(self.proven),
             head: number(self.head),
             changes: self.changes.iter().map(change).collect(),
+            settled: self.settled.iter().rev().take(MOST_SAVED).rev().cloned().collect(),
         }
     }
 
@@ -53,6 +57,7 @@
         self.proven = keep(saved.proven, lineage);
         self.head = if saved.head == saved.proven { self.proven } else { keep(saved.head, 0) };
         self.head = self.head.or(self.proven);
+        self.settled = saved.settled.into();
         let mut spread = Vec::new();
         for change in saved.changes {
             let Some(version) = versions.get(&change.number) else { continue };
--- a/crates/versions/src/trial/types.rs
+++ b/crates/versions/src/trial/types.rs
@@ -192,4 +192,6 @@
     pub proven: Option<u64>,
     pub head: Option<u64>,
     pub changes: Vec<SavedChange>,
+    /// What came of the last of those that are settled.
+    pub settled: Vec<ChangeRow>,
 }
--- a/crates/versions/tests/trial_world/mod.rs
+++ b/crates/versions/tests/trial_world/mod.rs
@@ -74,6 +74,8 @@
     /// Its timer for reports: only the last one counts.
     timer: u32,
     every: Option<u64>,
+    /// Versions that it took into use.
+    pub applied: u64,
     /// It neither reads nor writes nor serves.
     pub stopped: bool,
     held: Vec<Event>,
@@ -112,7 +114,8 @@
     /// Of a token: whose reach is looked at.
     watched: Vec<String>,
     edits: u64,
-    pub files: u64,
+    /// Services that were started anew.
+    pub epochs: u64,
     /// Kill the service at that many stored states from now.
     pub dies_at: Option<u32>,
     pub stores: u32,
@@ -173,6 +176,7 @@
             counted: START,
             timer: 0,
             every: None,
+            applied: 0,
             stopped: false,
             held: Vec::new(),
             lies: None,
@@ -203,7 +207,7 @@
             reach: BTreeMap::new(),
             watched: Vec::new(),
             edits: 0,
-            files: 0,
+            epochs: 0,
             dies_at: None,
             stores: 0,
             checked: START,
@@ -504,6 +508,7 @@
                 self.count_accesses(n);
                 let host = &mut self.hosts[n];
                 (host.effects, host.took, host.content) = (effects, self.now, Some(content.clone()));
+                self.hosts[n].applied += 1;
                 self.reached(n, &id);
                 self.on_front(n, |f, now, out| f.applied(now, id, Ok(()), out));
             }
@@ -718,14 +723,33 @@
         self.published.get(&number).and_then(|p| self.reach.get(&p.1)).map_or(0, BTreeSet::len)
     }
 
+    /// What has been told lately, for whoever looks why a test fails.
+    pub fn story(&self) -> String {
+        let since = |at: u64| (at - START) as f64 / SECOND as f64;
+        let lines =
+            self.lines.iter().rev().take(12).rev().map(|(at, line)| format!("{:.2} {line:?}", since(*at)));
+        let open = self.published.keys().filter(|n| !self.in_force.contains_key(n));
+        let open: Vec<_> = open.map(|n| (*n, self.state(*n))).collect();
+        format!("at {:.2}: {}\nopen: {open:?}", since(self.now), lines.collect::<Vec<_>>().join("\n"))
+    }
+
+    /// Whether a front runs a content that holds the change's line.
+    pub fn has(&self, n: usize, number: u64) -> bool {
+        let Some((_, token)) = self.published.get(&number) else { return false };
+        let host = &self.hosts[n];
+        let content = host.content.as_ref().filter(|_| host.front.is_some());
+        content.is_some_and(|c| String::from_utf8_lossy(c).contains(token.as_str()))
+    }
+
+    /// A content in place of the head.
+    pub fn publish_text(&mut self, content: &str) -> Result<Id, NotPublished> {
+        let last = self.service.as_ref().map_or(0, Service::last);
+        self.publish_content(content, content.trim_end(), last)
+    }
+
     /// Fronts whose running content holds the change's line.
     pub fn having(&self, number: u64) -> usize {
-        let Some((_, token)) = self.published.get(&number) else { return 0 };
-        let has = |h: &&Host| {
-            let content = h.content.as_ref().filter(|_| h.front.is_some());
-            content.is_some_and(|c| String::from_utf8_lossy(c).contains(token.as_str()))
-        };
-        self.hosts.iter().filter(has).count()
+        (0..self.hosts.len()).filter(|&n| self.has(n, number)).count()
     }
 }
 
