--- a/crates/operator/src/control.rs
+++ b/crates/operator/src/control.rs
@@ -12,7 +12,7 @@
 //!   store             = "versions.redb"
 //! }
 //! operator "first-shift" { role = "viewer" }   # by the name in the certificate; without any, all are operators
-//! publication { canaries = 2 }
+//! publication { rollout = "evidence" }   # "waves" unless said otherwise
 //! ```
 
 use std::net::SocketAddr;
@@ -27,6 +27,62 @@
     Operator,
 }
 
+/// How a publication comes to everyone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Rollout {
+    /// To shares of all fronts one after the other, each watched for a time; one publication at a time.
+    #[default]
+    Waves,
+    /// By what trials show; publications may overlap.
+    Evidence,
+}
+
+/// What becomes of a change that too few accesses speak about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ThinTraffic {
+    /// It waits until they do.
+    #[default]
+    Wait,
+    /// It goes on at the time bound, and is called unproven.
+    GoOn,
+}
+
+/// How trials are made where changes go by evidence.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trials {
+    /// Fronts that try a change first, of different stations.
+    pub canaries: u64,
+    /// The share of all fronts that tries what the canaries showed no harm of; as many more are its control group.
+    pub share: f64,
+    /// How long a change is watched once it is everyone's.
+    pub watch_ms: u64,
+    /// When a trial without a verdict has too little traffic.
+    pub evidence_within_ms: u64,
+    pub thin_traffic: ThinTraffic,
+    /// The probability that one comparison takes a harmless change for harmful.
+    pub false_stop: f64,
+}
+
+impl Default for Trials {
+    fn default() -> Trials {
+        Trials {
+            canaries: 4,
+            share: 0.1,
+            watch_ms: 30_000,
+            evidence_within_ms: 10_000,
+            thin_traffic: ThinTraffic::Wait,
+            // A thousand changes a day with some three comparisons each: under one false stop a day.
+            false_stop: 1e-4,
+        }
+    }
+}
+
+/// The control group is as large as the trial, so that more than this can't be had of all fronts.
+const MOST_TRIAL_SHARE: f64 = 0.5;
+/// A probability of at least one false stop in ten changes is no test.
+const MOST_FALSE_STOP: f64 = 0.1;
+const LEAST_FALSE_STOP: f64 = 1e-9;
+
 /// How a publication goes, in this file's units.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Publication {
@@ -40,6 +96,8 @@
     pub history: u64,
     /// After a start on what is in the store, nothing is offered for so long to fronts that run nothing.
     pub listen_ms: u64,
+    pub rollout: Rollout,
+    pub trials: Trials,
 }
 
 /// Certificate, key and whom to believe.
@@ -105,6 +163,8 @@
         drop: 0.03,
         history: 64,
         listen_ms: 60_000,
+        rollout: Rollout::Waves,
+        trials: Trials::default(),
     };
     let Some(block) = block else { return is };
     let whole = |key, range, to: &mut u64| *to = block.whole(key, range).unwrap_or(*to);
@@ -123,6 +183,26 @@
         }
         is.shares = shares;
     }
+    let kinds = [("waves", Rollout::Waves), ("evidence", Rollout::Evidence)];
+    is.rollout = block.word("rollout", &kinds).unwrap_or_default();
+    is.trials = trials(block);
+    is
+}
+
+/// The keys of trials, which stand beside those of waves so that one can go from one mode to the other and back.
+fn trials(block: &Block<'_>) -> Trials {
+    let mut is = Trials::default();
+    let whole = |key, range, to: &mut u64| *to = block.whole(key, range).unwrap_or(*to);
+    whole("trial_canaries", 1..=1_000, &mut is.canaries);
+    whole("watch_ms", 0..=86_400_000, &mut is.watch_ms);
+    whole("evidence_within_ms", 500..=3_600_000, &mut is.evidence_within_ms);
+    let within = |key, least: f64, most: f64, to: &mut f64| {
+        *to = block.between(key, least, most).unwrap_or(*to);
+    };
+    within("trial_share", 0.001, MOST_TRIAL_SHARE, &mut is.share);
+    within("false_stop", LEAST_FALSE_STOP, MOST_FALSE_STOP, &mut is.false_stop);
+    let kinds = [("wait", ThinTraffic::Wait), ("go_on", ThinTraffic::GoOn)];
+    is.thin_traffic = block.word("thin_traffic", &kinds).unwrap_or_default();
     is
 }
 
--- a/crates/operator/src/doc.rs
+++ b/crates/operator/src/doc.rs
@@ -176,6 +176,13 @@
         })
     }
 
+    /// A number within bounds, both of them allowed.
+    pub fn between(&self, key: &'static str, least: f64, most: f64) -> Option<f64> {
+        self.read(key, &format!("a number from {least} to {most}"), |e| {
+            e.as_number()?.as_f64().filter(|n| (least..=most).contains(n))
+        })
+    }
+
     pub fn shares(&self, key: &'static str) -> Option<Vec<f64>> {
         let one = |e: &Expression| e.as_number()?.as_f64().filter(|s| (0.0..=1.0).contains(s));
         self.read(key, "a list of numbers from 0 to 1", |e| e.as_array()?.iter().map(one).collect())
