Fronts report their counts as often as the service asks, and only where it does

Trials of overlapping changes need whole accesses, some of them twice a second. The follower sends what its host has counted since the process started, at once when it is asked or has brought another version into use, and then at the pace that the machine says; a connection that ends ends the reports. In the waves' mode nobody asks, and nothing of this runs.

--- a/crates/control-client/src/configuration.rs
+++ b/crates/control-client/src/configuration.rs
@@ -14,6 +14,7 @@
 use doorgrade_operator::settings::Versions;
 use doorgrade_operator::{Version, files};
 use doorgrade_store::{FrontStore, Records};
+pub use doorgrade_stream::follow::AccessCounts;
 use doorgrade_stream::follow::{Command, Follow, Host, To};
 use doorgrade_stream::{FRONTS, now};
 use doorgrade_versions::front::{Content, Found, Front, Line};
@@ -25,13 +26,14 @@
 use crate::seal_keys::{RELOAD_EACH, SealKeys, changed, read_keys};
 use crate::worker::{Stopped, Worker};
 
-/// How an instance serves, summed since its start: benefit in thousandths.
+/// How an instance serves, summed since its start: benefit in thousandths, and accesses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Served {
     /// Asked for.
     pub asked: u64,
     /// Had within the soft limit.
     pub in_time: u64,
+    pub accesses: AccessCounts,
 }
 
 /// What runs the versions: a front with client traffic, or one without.
@@ -285,6 +287,10 @@
         (asked > 0).then(|| (in_time as f32 / asked as f32).min(1.0))
     }
 
+    fn counts(&mut self) -> AccessCounts {
+        self.instance.served().accesses
+    }
+
     fn lost(&mut self, at: SocketAddr, why: &str) {
         let line = format!("versions: the service at {at}: {why}");
         // The same again and again while it is away is one line.
--- a/crates/front/src/in_use.rs
+++ b/crates/front/src/in_use.rs
@@ -5,7 +5,7 @@
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use doorgrade_control_client::configuration::{self, Instance};
+use doorgrade_control_client::configuration::{self, AccessCounts, Instance};
 use doorgrade_operator::{Version, files};
 use doorgrade_versions::Id;
 use tokio::sync::oneshot;
@@ -81,17 +81,21 @@
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// How it serves, from the reducer to whoever tells the service: sums in thousandths.
+/// How it serves, from the reducer to whoever tells the service: sums in thousandths, and accesses.
 #[derive(Default)]
 pub struct Served {
     asked: AtomicU64,
     in_time: AtomicU64,
+    ended: AtomicU64,
+    answered: AtomicU64,
 }
 
 impl Served {
     pub fn put(&self, sums: reducer::Served) {
         self.asked.store((1e3 * sums.asked) as u64, Ordering::Relaxed);
         self.in_time.store((1e3 * sums.in_time) as u64, Ordering::Relaxed);
+        self.ended.store(sums.ended, Ordering::Relaxed);
+        self.answered.store(sums.answered, Ordering::Relaxed);
     }
 }
 
@@ -123,10 +127,14 @@
     }
 
     fn served(&self) -> configuration::Served {
-        let (asked, in_time) = (&self.served.asked, &self.served.in_time);
+        let load = |sum: &AtomicU64| sum.load(Ordering::Relaxed);
+        // The ones answered first: read the other way round, one that ends in between would be answered and not asked.
+        let answered = load(&self.served.answered);
+        let accesses = AccessCounts { asked: load(&self.served.ended).max(answered), answered };
         configuration::Served {
-            asked: asked.load(Ordering::Relaxed),
-            in_time: in_time.load(Ordering::Relaxed),
+            asked: load(&self.served.asked),
+            in_time: load(&self.served.in_time),
+            accesses,
         }
     }
 }
--- a/crates/standins/src/versions.rs
+++ b/crates/standins/src/versions.rs
@@ -9,7 +9,7 @@
 use doorgrade_keys::make::{self, Pair};
 use doorgrade_keys::rustls::pki_types::ServerName;
 use doorgrade_keys::{Paths, client};
-use doorgrade_stream::follow::{Command, Follow, Host, To};
+use doorgrade_stream::follow::{AccessCounts, Command, Follow, Host, To};
 use doorgrade_stream::{FRONTS, now};
 use doorgrade_versions::front::{Content, Found, Front, Line};
 use doorgrade_versions::seal::{Keys, Seal};
@@ -117,6 +117,9 @@
     pub turned_down: Vec<(Id, Reason)>,
     pub lost: Vec<String>,
     pub serves: Option<f32>,
+    /// What it says that it has served since it started, and how often it was asked for that.
+    pub counts: AccessCounts,
+    pub counted: usize,
     /// In the order of time: what is in use, and whether it was checked and found good.
     pub bad_in_use: usize,
 }
@@ -168,6 +171,12 @@
         lock(&self.record).serves
     }
 
+    fn counts(&mut self) -> AccessCounts {
+        let mut record = lock(&self.record);
+        record.counted += 1;
+        record.counts
+    }
+
     fn lost(&mut self, _: SocketAddr, why: &str) {
         lock(&self.record).lost.push(why.to_owned());
     }
--- a/crates/stream/src/follow.rs
+++ b/crates/stream/src/follow.rs
@@ -17,7 +17,7 @@
 use tokio::io::{ReadHalf, WriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{Interval, MissedTickBehavior, interval, sleep_until, timeout};
 use tokio_rustls::TlsConnector;
 use tokio_rustls::client::TlsStream;
 
@@ -26,6 +26,15 @@
 
 type Stream = TlsStream<TcpStream>;
 
+/// Accesses since the process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AccessCounts {
+    /// Accesses that have ended, however they did.
+    pub asked: u64,
+    /// Of those, the ones answered within the soft limit.
+    pub answered: u64,
+}
+
 /// What runs the versions.
 pub trait Host {
     /// Whether a content can be used, and would do no harm.
@@ -39,6 +48,8 @@
     fn tell(&mut self, line: Line);
     /// What share of the benefit asked for it had within the soft limit since the last call; none where nothing was asked.
     fn serves(&mut self) -> Option<f32>;
+    /// What it has served since it started; asked for only where the service judges versions by it.
+    fn counts(&mut self) -> AccessCounts;
     /// What it can say of a connection that ended or could not be made.
     fn lost(&mut self, _at: SocketAddr, _why: &str) {}
 }
@@ -62,7 +73,7 @@
 }
 
 /// How often it says how it serves; also how often the service hears that it lives.
-const SERVES_EACH: Duration = Duration::from_secs(5);
+const SERVES_EACH: Tenths = 50_000;
 
 struct Link {
     reader: Reader<ReadHalf<Stream>>,
@@ -102,11 +113,20 @@
     link: Option<Link>,
     connecting: Option<Connecting>,
     wake: Option<Tenths>,
+    /// Ticks when the service is to have the counts, where it has asked for them.
+    report: Option<Interval>,
     /// Bytes written to the service, and connections made.
     pub sent: u64,
     pub connections: u64,
 }
 
+/// Ticks now and then each `every`; those that were missed are not made up for, since counts are of all time.
+fn ticks(every: Tenths) -> Interval {
+    let mut ticks = interval(Duration::from_micros(every.max(1) * 100));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    ticks
+}
+
 fn instant(at: Tenths) -> tokio::time::Instant {
     tokio::time::Instant::now() + Duration::from_micros(at.saturating_sub(now()) * 100)
 }
@@ -121,8 +141,8 @@
     ) -> (Self, Vec<Do>) {
         let mut out = Vec::new();
         let front = start(now(), &mut out);
-        let (next, link, connecting, wake) = (0, None, None, None);
-        (Follow { host, front, to, tls, next, link, connecting, wake, sent: 0, connections: 0 }, out)
+        let (next, link, connecting, wake, report) = (0, None, None, None, None);
+        (Follow { host, front, to, tls, next, link, connecting, wake, report, sent: 0, connections: 0 }, out)
     }
 
     pub fn runs(&self) -> Option<Id> {
@@ -132,12 +152,11 @@
     /// Until it is told to stop, or whoever could tell it is gone.
     pub async fn run(&mut self, first: Vec<Do>, commands: &mut mpsc::Receiver<Command>) {
         self.perform(first).await;
-        let mut serves = tokio::time::interval(SERVES_EACH);
-        serves.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut serves = ticks(SERVES_EACH);
         loop {
             let mut out = Vec::new();
             let wake = self.wake;
-            let (connecting, link) = (&mut self.connecting, &mut self.link);
+            let (connecting, link, report) = (&mut self.connecting, &mut self.link, &mut self.report);
             tokio::select! {
                 command = commands.recv() => match command {
                     Some(Command::Tls(tls)) => self.tls = tls,
@@ -181,6 +200,15 @@
                         self.front.due(now(), &mut out);
                     }
                 }
+                () = async {
+                    match report {
+                        Some(report) => drop(report.tick().await),
+                        None => pending().await,
+                    }
+                } => {
+                    let AccessCounts { asked, answered } = self.host.counts();
+                    self.front.report(asked, answered, &mut out);
+                }
                 _ = serves.tick() => {
                     if let Some(share) = self.host.serves() {
                         self.front.serves(share, &mut out);
@@ -251,8 +279,7 @@
                     Do::Unstage => self.host.unstage(),
                     Do::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
                     Do::Tell(line) => self.host.tell(line),
-                    // Counts are not read yet: the service does not ask for them where rollouts go in waves.
-                    Do::Report { .. } => {}
+                    Do::Report { every } => self.report = every.map(ticks),
                 }
             }
             todo = out;
