--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -3,10 +3,12 @@
 use std::path::{Path, PathBuf};
 
 use doorgrade_keys::Paths;
-use doorgrade_operator::control::{Control, Papers, Role as Told, seal_keys};
+use doorgrade_operator::control::{
+    Control, Papers, Publication, Role as Told, Rollout, ThinTraffic, seal_keys,
+};
 use doorgrade_operator::files::beside;
 use doorgrade_trust::rotation;
-use doorgrade_versions::service::{Role, RolloutMode, Rules};
+use doorgrade_versions::service::{Role, RolloutMode, Rules, ThinTraffic as Thin, TrialRules};
 
 /// Where the settings stand, seen from where the program is started, if nobody says otherwise.
 pub const USUAL: &str = "deploy/control.hcl";
@@ -62,7 +64,7 @@
             most_fronts: *most_fronts as usize,
             history: p.history as usize,
             listen: p.listen_ms * 10,
-            rollout: RolloutMode::Waves,
+            rollout: mode(p),
         }
     }
 
@@ -81,6 +83,25 @@
     }
 }
 
+fn mode(told: &Publication) -> RolloutMode {
+    let trials = &told.trials;
+    match told.rollout {
+        Rollout::Waves => RolloutMode::Waves,
+        Rollout::Evidence => RolloutMode::Evidence(TrialRules {
+            canaries: trials.canaries as usize,
+            share: trials.share,
+            watch: trials.watch_ms * 10,
+            evidence_within: trials.evidence_within_ms * 10,
+            thin_traffic: match trials.thin_traffic {
+                ThinTraffic::Wait => Thin::Wait,
+                ThinTraffic::GoOn => Thin::GoOn,
+            },
+            false_stop: trials.false_stop,
+            ..TrialRules::default()
+        }),
+    }
+}
+
 /// The keys of a file, sound on their own.
 pub fn keys(file: &Path) -> Result<Vec<(u32, Vec<u8>)>, String> {
     let name = file.display().to_string();
