Trials are stored in a record of their own, and what nothing needs is forgotten

Today's records stay as they are, so that an earlier release reads a store that has trials beside them. A publication whose change could not be stored is withdrawn, as one whose content could not; versions are forgotten after what is stored of trials needs them no more.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -6,8 +6,9 @@
 
 use doorgrade_store::ServiceStore;
 use doorgrade_stream::now;
+use doorgrade_versions::Id;
 use doorgrade_versions::message::{ToFront, ToService};
-use doorgrade_versions::service::{Answer, Ask, Conn, Do, Line, Role, Service, Version};
+use doorgrade_versions::service::{Answer, Ask, Conn, Do, Line, Role, SavedTrials, Service, Version};
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
@@ -179,13 +180,14 @@
             // What can't be stored is offered to nobody, and was never published.
             let stored = out.iter().try_for_each(|each| match each {
                 Do::Store(version) => self.put(version),
+                Do::StoreTrials(trials) => self.put_trials(trials),
                 _ => Ok(()),
             });
             if let Err(why) = stored {
                 self.service.withdraw(*id);
                 (answer, out) = (Answer::NotStored(why), Vec::new());
             }
-            out.retain(|each| !matches!(each, Do::Store(_)));
+            out.retain(|each| !matches!(each, Do::Store(_) | Do::StoreTrials(_)));
         }
         self.perform(out);
         if !what.is_empty() {
@@ -205,9 +207,22 @@
         })
     }
 
+    fn put_trials(&self, trials: &SavedTrials) -> Result<(), Box<str>> {
+        tokio::task::block_in_place(|| self.store.put_trials(trials)).map_err(|trouble| {
+            tracing::error!("how far trials are was not stored: {trouble}");
+            trouble.to_string().into()
+        })
+    }
+
+    fn forget(&self, id: &Id) {
+        if let Err(trouble) = tokio::task::block_in_place(|| self.store.forget(id)) {
+            tracing::warn!(version = %id, "version {id} is not needed any more, and stays stored: {trouble}");
+        }
+    }
+
     /// Does what the machine asks for, in its order.
     fn perform(&mut self, out: Vec<Do>) {
-        let mut slow = Vec::new();
+        let (mut slow, mut spare) = (Vec::new(), Vec::new());
         for each in out {
             match each {
                 Do::Send(conn, message) => {
@@ -232,9 +247,12 @@
                 }
                 Do::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
                 Do::Tell(line) => self.tell(line),
-                Do::StoreTrials(_) | Do::Forget(_) => {}
+                Do::StoreTrials(trials) => drop(self.put_trials(&trials)),
+                // Last: what is stored of trials may need it until it is replaced.
+                Do::Forget(id) => spare.push(id),
             }
         }
+        spare.iter().for_each(|id| self.forget(id));
         for conn in slow {
             if self.conns.remove(&conn).is_some() {
                 tracing::warn!("a front takes nothing of what it is told: cut off");
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use doorgrade_versions::seal::Seal;
-use doorgrade_versions::service::{Found as ServiceFound, Saved, Version};
+use doorgrade_versions::service::{Found as ServiceFound, Saved, SavedTrials, Version};
 use doorgrade_versions::{Id, front};
 use redb::{Database, ReadableDatabase, StorageBackend, TableDefinition};
 use serde::Serialize;
@@ -234,7 +234,8 @@
     }
 }
 
-/// What a service keeps: its epoch, the history, and how far a publication is.
+/// What a service keeps: its epoch, the history, how far a publication is, and in a record of its own, which earlier
+/// releases leave alone, the changes that are on trial or watched.
 pub struct ServiceStore(Records);
 
 type State = (u64, Option<u64>, Option<Saved>);
@@ -263,7 +264,18 @@
         let there = |n: &u64| versions.iter().any(|v| v.id.number == *n);
         let base = base.filter(there);
         let rollout = rollout.filter(|r| there(&r.id.number));
-        (ServiceFound { epoch, versions, base, rollout, trials: None }, troubles)
+        let trials: Option<SavedTrials> = self.0.value("trials", &mut troubles);
+        let trials = trials.filter(|t| t.epoch == epoch);
+        (ServiceFound { epoch, versions, base, rollout, trials }, troubles)
+    }
+
+    pub fn put_trials(&self, trials: &SavedTrials) -> Result<(), Trouble> {
+        self.0.write(&[("trials", payload(trials)?)], &[])
+    }
+
+    /// A version that nothing needs any more.
+    pub fn forget(&self, id: &Id) -> Result<(), Trouble> {
+        self.0.write(&[], &[&version_key(id)])
     }
 
     pub fn put(&self, version: &Version) -> Result<(), Trouble> {
--- a/crates/store/tests/formats.rs
+++ b/crates/store/tests/formats.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use doorgrade_store::{Records, ServiceStore, Trouble};
-use doorgrade_versions::service::{Saved, Stop};
+use doorgrade_versions::service::{Saved, SavedTrials, Stop};
 use doorgrade_versions::{Id, Reason};
 use redb::{Database, ReadableDatabase, TableDefinition};
 
@@ -92,3 +92,22 @@
     assert_eq!(table.get("state").unwrap().unwrap().value()[0], 9);
     std::fs::remove_file(path).unwrap();
 }
+
+#[test]
+fn trials_stand_in_a_record_of_their_own_beside_todays() {
+    let path = written("trials", &sample());
+    let store = ServiceStore::new(Records::open(&path).unwrap().0);
+    assert_eq!(store.load().0.trials, None);
+    let trials = SavedTrials { epoch: EPOCH, reserved: 70, proven: Some(1), head: Some(2), changes: vec![] };
+    store.put_trials(&trials).unwrap();
+    let (found, troubles) = store.load();
+    assert_eq!((found.trials, troubles), (Some(trials.clone()), vec![]));
+    assert_eq!(found.base, Some(1), "what an earlier release reads is as it was");
+    store.forget(&found.versions[0].id).unwrap();
+    assert_eq!(store.load().0.versions.len(), 1);
+    // Of another epoch they say nothing about this one's numbers.
+    store.put_trials(&SavedTrials { epoch: EPOCH + 1, ..trials }).unwrap();
+    assert_eq!(store.load().0.trials, None);
+    drop(store);
+    std::fs::remove_file(path).unwrap();
+}
