--- a/crates/store/tests/formats.rs
+++ b/crates/store/tests/formats.rs
@@ -98,7 +98,8 @@
     let path = written("trials", &sample());
     let store = ServiceStore::new(Records::open(&path).unwrap().0);
     assert_eq!(store.load().0.trials, None);
-    let trials = SavedTrials { epoch: EPOCH, reserved: 70, proven: Some(1), head: Some(2), changes: vec![] };
+    let trials =
+        SavedTrials { epoch: EPOCH, reserved: 70, proven: Some(1), head: Some(2), ..SavedTrials::default() };
     store.put_trials(&trials).unwrap();
     let (found, troubles) = store.load();
     assert_eq!((found.trials, troubles), (Some(trials.clone()), vec![]));
