--- a/deploy/control.hcl
+++ b/deploy/control.hcl
@@ -23,7 +23,7 @@
   # rollout            = "waves"        # or "evidence": by what trials show, and overlapping; the keys trial_* and watch_ms
   # trial_canaries     = 4              # to false_stop are for that. Fronts that try a change first
   # trial_share        = 0.1            # of all fronts, then; as many more are compared with them
-  # watch_ms           = 30000          # how long a change is watched once it is everyone's
+  # watch_ms           = 30000          # how long a change can be taken out alone once it is in force
   # evidence_within_ms = 10000          # a trial that knows nothing by then has too little traffic, and
   # thin_traffic       = "wait"         # waits for more, or "go_on": goes on, and is called unproven
   # false_stop         = 0.0001         # probability that a comparison takes a harmless change for harmful
