A run's figures are taken into the capacity page; agent and commands are measured

Need: nobody copies figures by hand, and the page had none for the agent and the operators' commands.

--- a/crates/lab/src/capacity/arithmetic.rs
+++ b/crates/lab/src/capacity/arithmetic.rs
@@ -1,6 +1,6 @@
 //! Cells worked out from figures: at the target, a tenth and ten times of it; ratios; at which size a budget is spent.
 
-use super::data::{Budget, Data, FRONTS, Figure, Requirement, Source, Term, Unit};
+use super::data::{Budget, Data, Figure, Requirement, Source, Term, Unit};
 use super::trouble::Trouble;
 
 /// The page's columns: shares of the target's size.
@@ -9,9 +9,9 @@
 const LOOKED_FOR: [f64; 2] = [0.01, 1_000.0];
 
 impl Figure {
-    /// For so many fronts.
-    pub fn value(&self, fronts: f64) -> f64 {
-        self.base + self.per_front * fronts.powf(self.power)
+    /// For so many of what it is a function of.
+    pub fn value(&self, size: f64) -> f64 {
+        self.base + self.per_front * size.powf(self.power)
     }
 
     pub fn measured(&self) -> bool {
@@ -35,12 +35,16 @@
         Ok(if quantity.grows { quantity.value * scale } else { quantity.value })
     }
 
+    /// A figure, for a fleet of that share of the target's size.
+    pub fn value(&self, at: &str, figure: &Figure, scale: f64) -> Result<f64, Trouble> {
+        Ok(figure.value(self.amount(at, &figure.over, scale)?))
+    }
+
     pub fn cell(&self, at: &str, terms: &[Term], scale: f64) -> Result<Value, Trouble> {
-        let fronts = self.amount(at, FRONTS, scale)?;
         let mut sum = Value { value: 0.0, unit: Unit::Count, measured: true };
         for (n, term) in terms.iter().enumerate() {
             let figure = self.figure(at, &term.figure)?;
-            let mut value = figure.value(fronts) * term.factor;
+            let mut value = self.value(at, figure, scale)? * term.factor;
             for quantity in &term.times {
                 value *= self.amount(at, quantity, scale)?;
             }
@@ -56,7 +60,7 @@
     pub fn budget(&self, at: &str, budget: &Budget, scale: f64) -> Result<f64, Trouble> {
         let of = match (&budget.quantity, &budget.figure) {
             (Some(name), _) => self.amount(at, name, scale)?,
-            (None, Some(name)) => self.figure(at, name)?.value(self.amount(at, FRONTS, scale)?),
+            (None, Some(name)) => self.value(at, self.figure(at, name)?, scale)?,
             (None, None) => 0.0,
         };
         Ok(of * budget.factor)
--- a/crates/lab/src/capacity/check.rs
+++ b/crates/lab/src/capacity/check.rs
@@ -1,32 +1,10 @@
 //! A run's figures against the page's: which lines are out of date.
 
 use std::fmt;
-use std::path::Path;
 
-use serde::Deserialize;
-
-use super::data::{Data, Figure, Source, expect_format, text};
+use super::data::{Data, Figure, Source};
+use super::run::{self, Run};
 use super::show::shown;
-use super::trouble::{Trouble, wrong};
-
-/// What `doorgrade-lab scale --data FILE` writes.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Run {
-    pub figures: Vec<Points>,
-}
-
-/// A figure as it was at some sizes.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Points {
-    pub name: String,
-    pub points: Vec<Point>,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-pub struct Point {
-    pub fronts: f64,
-    pub value: f64,
-}
 
 /// A line of the page that a run contradicts.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,28 +31,6 @@
     pub not_in_run: Vec<String>,
 }
 
-impl Run {
-    pub fn load(file: &Path) -> Result<Run, Trouble> {
-        Run::parse(&text(file)?)
-    }
-
-    pub fn parse(text: &str) -> Result<Run, Trouble> {
-        let value: serde_json::Value = serde_json::from_str(text)?;
-        expect_format(&value)?;
-        let run: Run = serde_json::from_value(value)?;
-        for figure in &run.figures {
-            let at = format!("figure {}", figure.name);
-            if figure.points.is_empty() {
-                return Err(wrong(at, "has no points", "one at least"));
-            }
-            if figure.points.iter().any(|p| !p.value.is_finite() || !(0.0..=1e9).contains(&p.fronts)) {
-                return Err(wrong(at, "has a point that can't be", "finite values for 0 to 1e9 fronts"));
-            }
-        }
-        Ok(run)
-    }
-}
-
 /// The greatest difference that the page's own statement allows at that size.
 fn allowed(figure: &Figure, margin: f64, expected: f64) -> f64 {
     figure.half_width + margin * expected.abs()
@@ -105,14 +61,9 @@
 }
 
 /// The mean at each size against the page's: seeds differ, and the page states a mean.
-fn contradicts(figure: &Figure, margin: f64, points: &Points) -> Option<String> {
-    let mut sizes: Vec<f64> = points.points.iter().map(|p| p.fronts).collect();
-    sizes.sort_by(f64::total_cmp);
-    sizes.dedup();
-    sizes.into_iter().find_map(|fronts| {
-        let at: Vec<f64> = points.points.iter().filter(|p| p.fronts == fronts).map(|p| p.value).collect();
-        let mean = at.iter().sum::<f64>() / at.len() as f64;
-        let expected = figure.value(fronts);
+fn contradicts(figure: &Figure, margin: f64, points: &run::Figure) -> Option<String> {
+    points.means().into_iter().find_map(|(fronts, mean)| {
+        let expected = figure.value(fronts as f64);
         let most = allowed(figure, margin, expected);
         // Written so that what can't be compared is out of date, too.
         let holds = (mean - expected).abs() <= most;
--- a/crates/lab/src/capacity/command.rs
+++ b/crates/lab/src/capacity/command.rs
@@ -2,9 +2,11 @@
 
 use std::path::{Path, PathBuf};
 
-use super::check::{Checked, Run, check};
+use super::check::{Checked, check};
 use super::data::{Data, text};
 use super::page::render;
+use super::run::Run;
+use super::take::take;
 use super::trouble::Trouble;
 
 /// The folder of the page, its template and its data, seen from the repository's root.
@@ -33,6 +35,19 @@
         std::fs::write(&self.page, page).map_err(unwritable)
     }
 
+    /// Puts a run's figures into the data, which has to be sound before and after, and renders the page. Gives the names of
+    /// those that no line of the page had.
+    pub fn take(&self, run: &Path) -> Result<Vec<String>, Trouble> {
+        let mut data: serde_json::Value = serde_json::from_str(&text(&self.data)?)?;
+        let new = take(&mut data, &Run::load(run)?)?;
+        let taken = serde_json::to_string_pretty(&data)? + "\n";
+        Data::parse(&taken)?;
+        let unwritable = |why| Trouble::Unwritable { file: self.data.clone(), why };
+        std::fs::write(&self.data, taken).map_err(unwritable)?;
+        self.render()?;
+        Ok(new)
+    }
+
     pub fn check(&self, run: &Path) -> Result<Checked, Trouble> {
         Ok(check(&Data::load(&self.data)?, &Run::load(run)?))
     }
--- a/crates/lab/src/capacity/data.rs
+++ b/crates/lab/src/capacity/data.rs
@@ -64,7 +64,7 @@
     Share,
 }
 
-/// One quantity as a function of the number of fronts: `base + per_front * fronts ^ power`.
+/// One quantity as a function of the number of fronts, or of another one: `base + per_front * fronts ^ power`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Figure {
@@ -73,6 +73,9 @@
     pub line: String,
     #[serde(default)]
     pub unit: Unit,
+    /// The quantity that it is a function of.
+    #[serde(default = "fronts")]
+    pub over: String,
     pub base: f64,
     #[serde(default)]
     pub per_front: f64,
@@ -84,6 +87,10 @@
     pub source: Source,
 }
 
+fn fronts() -> String {
+    FRONTS.into()
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -231,6 +238,7 @@
         let mut names = BTreeSet::new();
         for figure in &self.figures {
             figure.check()?;
+            self.quantity(&figure.at(), &figure.over)?;
             if !names.insert(&figure.name) {
                 return Err(wrong(figure.at(), "stands twice", "one entry a name"));
             }
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -4,7 +4,7 @@
 //! - [`data`]: what the file holds, and what is refused; [`arithmetic`]: cells, ratios and budgets worked out of it.
 //! - [`page`]: the page; [`show`]: how a figure is written.
 //! - [`run`]: what a run of `scale` writes with `--data`.
-//! - [`check`]: which lines of the page a run contradicts.
+//! - [`check`]: which lines of the page a run contradicts; [`take`]: its figures put into the data.
 
 pub mod arithmetic;
 pub mod check;
@@ -13,6 +13,7 @@
 pub mod page;
 pub mod run;
 pub mod show;
+pub mod take;
 mod trouble;
 
 pub use data::{Data, FORMAT, MOST_BYTES};
--- a/crates/lab/src/capacity/page.rs
+++ b/crates/lab/src/capacity/page.rs
@@ -73,8 +73,8 @@
         let unknown = |t: Trouble| Error::new(ErrorKind::InvalidOperation, t.to_string());
         let scale = scale.unwrap_or(1.0);
         let figure = figures.figure("the template", name).map_err(unknown)?;
-        let fronts = figures.amount("the template", FRONTS, scale).map_err(unknown)?;
-        Ok::<_, Error>(shown(figure.value(fronts), figure.unit))
+        let value = figures.value("the template", figure, scale).map_err(unknown)?;
+        Ok::<_, Error>(shown(value, figure.unit))
     });
     let mut requirements =
         data.requirements.iter().map(|r| requirement(data, r)).collect::<Result<Vec<_>, _>>()?;
@@ -213,12 +213,14 @@
 }
 
 fn slope(figure: &Figure) -> Slope {
+    // As the slope's text names it: 'a front', 'an instance'.
+    let each = if figure.over == FRONTS { "a front".into() } else { format!("a unit of {}", figure.over) };
     let text = match (figure.per_front, figure.power) {
         (0.0, _) => format!("{}, whatever the size", shown(figure.base, figure.unit)),
-        (each, 1.0) => format!("{} + {} a front", shown(figure.base, figure.unit), shown(each, figure.unit)),
-        (each, power) => {
+        (slope, 1.0) => format!("{} + {} {each}", shown(figure.base, figure.unit), shown(slope, figure.unit)),
+        (slope, power) => {
             let base = shown(figure.base, figure.unit);
-            format!("{base} + {} × fronts^{}", shown(each, figure.unit), digits(power))
+            format!("{base} + {} × {}^{}", shown(slope, figure.unit), figure.over, digits(power))
         }
     };
     let (interval, residual, by, note) = match &figure.source {
--- a/crates/lab/src/capacity/run.rs
+++ b/crates/lab/src/capacity/run.rs
@@ -1,7 +1,16 @@
 //! What a role costs as the fleet grows, as `doorgrade-lab scale --data FILE` writes it.
 
+use std::collections::BTreeMap;
+use std::path::Path;
+
 use serde::{Deserialize, Serialize};
 
+use super::data::{expect_format, text};
+use super::trouble::{Trouble, wrong};
+
+/// More instances than this were never measured, nor reckoned with.
+const MOST_FRONTS: usize = 1_000_000_000;
+
 /// How a quantity grows with the number of instances, N.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -91,3 +100,38 @@
     pub value: f64,
     pub seed: u64,
 }
+
+impl Run {
+    pub fn load(file: &Path) -> Result<Run, Trouble> {
+        Run::parse(&text(file)?)
+    }
+
+    /// Refuses what can't be measured: no points, no finite values.
+    pub fn parse(text: &str) -> Result<Run, Trouble> {
+        // The format first: a newer file may have other keys, and is to be refused by its number.
+        expect_format(&serde_json::from_str(text)?)?;
+        let run: Run = serde_json::from_str(text)?;
+        for figure in &run.figures {
+            let at = format!("figure {}", figure.name);
+            if figure.points.is_empty() {
+                return Err(wrong(at, "has no points", "one at least"));
+            }
+            if figure.points.iter().any(|p| !p.value.is_finite() || p.fronts > MOST_FRONTS) {
+                return Err(wrong(at, "has a point that can't be", "finite values for 0 to 1e9 fronts"));
+            }
+        }
+        Ok(run)
+    }
+}
+
+impl Figure {
+    /// The mean over seeds at each size.
+    pub fn means(&self) -> BTreeMap<usize, f64> {
+        let mut sums: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
+        for point in &self.points {
+            let (sum, count) = sums.entry(point.fronts).or_default();
+            (*sum, *count) = (*sum + point.value, *count + 1.0);
+        }
+        sums.into_iter().map(|(size, (sum, count))| (size, sum / count)).collect()
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -148,6 +148,12 @@
         #[arg(long, default_value = command::DOCS)]
         docs: PathBuf,
     },
+    /// Puts what `scale --data FILE` wrote into the page's data, and renders the page
+    Take {
+        file: PathBuf,
+        #[arg(long, default_value = command::DOCS)]
+        docs: PathBuf,
+    },
     /// Says which lines of the page the figures of a run contradict; exits with 3 if any
     Check {
         /// What `scale --data FILE` wrote
@@ -163,6 +169,13 @@
 fn capacity(what: Capacity) -> Result<ExitCode, Trouble> {
     match what {
         Capacity::Render { docs } => Files::in_folder(&docs).render().map(|()| ExitCode::SUCCESS),
+        Capacity::Take { file, docs } => {
+            let new = Files::in_folder(&docs).take(&file)?;
+            if !new.is_empty() {
+                println!("new, and in no table of the page yet: {}", new.join(", "));
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         Capacity::Check { file, docs } => {
             let came = Files::in_folder(&docs).check(&file)?;
             came.out_of_date.iter().for_each(|line| println!("{line}"));
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -1,6 +1,8 @@
 //! `doorgrade-lab scale`: what each role costs as the fleet grows, part by part, within a budget of the machine.
 
+mod agent;
 pub mod budget;
+mod commands;
 pub mod fit;
 mod front_state;
 mod members;
@@ -32,7 +34,8 @@
     pub run: fn(&mut Context) -> Result<(), ScaleError>,
 }
 
-pub static PARTS: [Part; 4] = [service::PART, members::PART, front_state::PART, rollouts::PART];
+pub static PARTS: [Part; 6] =
+    [service::PART, members::PART, front_state::PART, rollouts::PART, commands::PART, agent::PART];
 
 #[derive(Debug, thiserror::Error)]
 pub enum ScaleError {
--- a/crates/lab/src/scale/options.rs
+++ b/crates/lab/src/scale/options.rs
@@ -21,7 +21,7 @@
 /// As they are typed: numbers are read here, so that a wrong one is answered with what it may be.
 #[derive(Args, Clone, Default)]
 pub struct ScaleArgs {
-    /// Only these parts: service, members, front-state, rollouts
+    /// Only these parts: service, members, front-state, rollouts, commands, agent
     #[arg(long, value_delimiter = ',')]
     pub only: Vec<String>,
     /// How many instances, one run for each; at least four sizes for a slope
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -5,11 +5,13 @@
 use std::process::Command;
 
 use doorgrade_lab::capacity::Data;
-use doorgrade_lab::capacity::check::{Run, check};
+use doorgrade_lab::capacity::check::check;
 use doorgrade_lab::capacity::command::Files;
 use doorgrade_lab::capacity::data::Unit;
 use doorgrade_lab::capacity::page::render;
+use doorgrade_lab::capacity::run::Run;
 use doorgrade_lab::capacity::show::{digits, shown};
+use doorgrade_lab::capacity::take::take;
 use serde_json::{Value, json};
 
 fn docs() -> PathBuf {
@@ -60,9 +62,15 @@
     parse(&value).expect_err("this file is wrong")
 }
 
-fn run(points: &[(f64, f64)]) -> Run {
-    let points: Vec<Value> = points.iter().map(|p| json!({"fronts": p.0, "value": p.1})).collect();
-    Run::parse(&json!({"format": 1, "figures": [{"name": "heal", "points": points}]}).to_string()).unwrap()
+/// What a run writes, of some points of one figure.
+fn written(name: &str, points: &[(usize, f64)]) -> Value {
+    let points: Vec<Value> = points.iter().map(|p| json!({"fronts": p.0, "value": p.1, "seed": 1})).collect();
+    json!({"format": 1, "commit": "c7e0452", "command": "doorgrade-lab scale", "entries": [],
+        "figures": [{"name": name, "unit": "bytes/s", "points": points}]})
+}
+
+fn run(points: &[(usize, f64)]) -> Run {
+    Run::parse(&written("heal", points).to_string()).unwrap()
 }
 
 #[test]
@@ -153,8 +161,8 @@
 fn a_figure_that_left_its_interval_is_named_with_its_line() {
     let data = parse(&small()).unwrap();
     // At 1,000 fronts the page has 12,100, and allows 200 and a tenth.
-    assert_eq!(check(&data, &run(&[(1_000.0, 13_500.0)])).held, ["heal"]);
-    let came = check(&data, &run(&[(400.0, 4_900.0), (1_000.0, 13_600.0)]));
+    assert_eq!(check(&data, &run(&[(1_000, 13_500.0)])).held, ["heal"]);
+    let came = check(&data, &run(&[(400, 4_900.0), (1_000, 13_600.0)]));
     assert_eq!((came.held.len(), came.out_of_date.len()), (0, 1));
     let told = came.out_of_date[0].to_string();
     assert!(
@@ -163,22 +171,98 @@
     );
     assert!(told.contains("13.6 KB/s") && told.contains("12.1 KB/s"), "{told}");
     // Less than it says is as much out of date.
-    assert_eq!(check(&data, &run(&[(1_000.0, 10_000.0)])).out_of_date.len(), 1);
+    assert_eq!(check(&data, &run(&[(1_000, 10_000.0)])).out_of_date.len(), 1);
     // Seeds of one size count as their mean.
-    let seeds = [(1_000.0, 14_000.0), (1_000.0, 11_000.0), (1_000.0, 11_300.0)];
+    let seeds = [(1_000, 14_000.0), (1_000, 11_000.0), (1_000, 11_300.0)];
     assert_eq!(check(&data, &run(&seeds)).out_of_date.len(), 0);
 }
 
 #[test]
 fn a_run_without_a_figure_and_a_figure_without_a_line_are_told() {
     let data = parse(&small()).unwrap();
-    let other = json!({"format": 1, "figures": [{"name": "new", "points": [{"fronts": 50, "value": 1}]},
-        {"name": "change", "points": [{"fronts": 50, "value": 1}]}]});
+    let mut other = written("new", &[(50, 1.0)]);
+    other["figures"].as_array_mut().unwrap().push(written("change", &[(50, 1.0)])["figures"][0].clone());
     let came = check(&data, &Run::parse(&other.to_string()).unwrap());
     assert_eq!(came.not_on_page, ["new", "change"], "a reckoned line is nothing to hold a run to");
     assert_eq!(came.not_in_run, ["heal"]);
 }
 
+/// What a run writes of a slope: 50 + 10 N, and its points.
+fn slope(id: &str, shape: &str, value: fn(f64) -> f64) -> Value {
+    let sizes = [50, 150, 400, 1_000];
+    let mut run = written(id, &sizes.map(|n| (n, value(n as f64))));
+    run["entries"] = json!([{"id": id, "role": "membership", "quantity": "said", "unit": "bytes/s", "slope": 10.0,
+        "interval": [9.5, 10.5], "intercept": 50.0, "intercept_interval": [0.0, 100.0], "residual": 30.0, "shape": shape,
+        "sizes": sizes, "seeds": [1, 2, 3], "basis": "measured", "command": "doorgrade-lab scale --seed 1 --only members",
+        "commit": "27a2f61"}]);
+    run
+}
+
+fn taken(run: &Value, into: &mut Value) -> Vec<String> {
+    let new = take(into, &Run::parse(&run.to_string()).unwrap()).unwrap();
+    parse(into).unwrap();
+    new
+}
+
+#[test]
+fn a_run_is_taken_into_the_data_in_place_of_what_stood_there() {
+    let mut data = small();
+    data["figures"][0]["source"]["measured"]["margin"] = json!(0.4);
+    assert_eq!(taken(&slope("heal", "linear", |n| 50.0 + 10.0 * n), &mut data), [""; 0]);
+    let figure = &data["figures"][0];
+    assert_eq!((&figure["base"], &figure["per_front"]), (&json!(50.0), &json!(10.0)));
+    assert_eq!(figure["line"], json!("membership after a cut"), "the page's own words stay");
+    assert_eq!(figure["source"]["measured"]["margin"], json!(0.4));
+    assert_eq!(figure["source"]["measured"]["commit"], json!("27a2f61"));
+    assert_eq!(figure["source"]["measured"]["residual"], json!(0.0));
+    // 1.96 x 30 x sqrt(1/4 + 600^2 / 540,000).
+    let half = figure["half_width"].as_f64().unwrap();
+    assert!((half - 1.96 * 30.0 * (0.25f64 + 360_000.0 / 540_000.0).sqrt()).abs() < 1.0, "{half}");
+    // A reckoned one gives way, too.
+    taken(&slope("change", "linear", |n| 50.0 + 10.0 * n), &mut data);
+    assert!(
+        data["figures"][1]["source"]["reckoned"].is_null()
+            && data["figures"][1]["line"] == json!("a change in force")
+    );
+}
+
+#[test]
+fn what_is_flat_is_taken_as_its_mean_and_what_is_worse_with_its_power() {
+    let mut data = small();
+    assert_eq!(taken(&slope("new.flat", "flat", |_| 7.0), &mut data), ["new.flat"]);
+    assert_eq!(taken(&slope("new.worse", "worse", |n| 0.5 * n * n), &mut data), ["new.worse"]);
+    let [flat, worse] = [&data["figures"][3], &data["figures"][4]];
+    assert_eq!(
+        (&flat["base"], &flat["per_front"], &flat["line"]),
+        (&json!(7.0), &json!(0.0), &json!("said"))
+    );
+    let read = |key: &str| worse[key].as_f64().unwrap();
+    assert!((read("power") - 2.0).abs() < 1e-9 && (read("per_front") - 0.5).abs() < 1e-9, "{worse}");
+}
+
+#[test]
+fn a_run_that_does_not_fit_the_page_is_not_taken() {
+    let mut run = slope("heal", "linear", |n| n);
+    run["entries"][0]["unit"] = json!("furlongs");
+    let refused =
+        |run: &Value| take(&mut small(), &Run::parse(&run.to_string()).unwrap()).unwrap_err().to_string();
+    assert!(refused(&run).contains("heal: is in \"furlongs\""));
+    let mut run = slope("heal", "linear", |n| n);
+    run["figures"][0]["name"] = json!("other");
+    assert!(refused(&run).contains("heal: has no points"));
+}
+
+#[test]
+fn a_figure_may_be_over_another_quantity_than_fronts() {
+    let mut value = small();
+    value["figures"][0]["over"] = json!("purges_per_s");
+    let data = parse(&value).unwrap();
+    let row = &data.roles[0].rows[0];
+    assert_eq!(data.cell("", &row.is, 10.0).unwrap().value, 100.0 + 12.0 * 180.0);
+    value["figures"][0]["over"] = json!("none");
+    assert!(parse(&value).unwrap_err().contains("no quantity \"none\""));
+}
+
 #[test]
 fn the_command_says_it_by_its_exit_code() {
     let folder = std::env::temp_dir().join(format!("doorgrade-capacity-{}", std::process::id()));
@@ -199,7 +283,7 @@
     assert_eq!(std::fs::read_to_string(folder.join("CAPACITY.md")).unwrap(), "120 KB/s\n");
     let file = folder.join("run.json");
     let file = file.to_str().unwrap();
-    let run = |value| json!({"format": 1, "figures": [{"name": "heal", "points": [{"fronts": 50, "value": value}]}]});
+    let run = |value| written("heal", &[(50, value)]);
     put("run.json", &run(705.0).to_string());
     assert_eq!(lab(&["capacity", "check", file]).0, Some(0));
     put("run.json", &run(5_000.0).to_string());
@@ -302,14 +386,18 @@
         let text = whole.replacen("\"base\":100", &format!("\"base\":{bad}"), 1);
         assert_ne!(text, whole);
         assert!(Data::parse(&text).is_err(), "{bad}");
-        let run = format!(
-            r#"{{"format":1,"figures":[{{"name":"heal","points":[{{"fronts":50,"value":{bad}}}]}}]}}"#
-        );
+        let run = written("heal", &[(50, 7.0)]).to_string().replacen("7.0", bad, 1);
         assert!(Run::parse(&run).is_err(), "{bad}");
     }
     assert!(Data::parse(&"[".repeat(100_000)).is_err());
-    for points in [json!([]), json!([{"fronts": -1, "value": 1}]), json!([{"fronts": 1e30, "value": 1}])] {
-        let run = json!({"format": 1, "figures": [{"name": "heal", "points": points}]});
+    for points in [
+        json!([]),
+        json!([{"fronts": -1, "value": 1, "seed": 1}]),
+        json!([{"fronts": 1e30, "value": 1, "seed": 1}]),
+        json!([{"fronts": 9e9 as u64, "value": 1, "seed": 1}]),
+    ] {
+        let mut run = written("heal", &[]);
+        run["figures"][0]["points"] = points;
         assert!(Run::parse(&run.to_string()).is_err(), "{run}");
     }
     // The greatest that is let through still renders.
