Hollow fronts, whether they stand for real ones, and slopes of the configuration service

Need: what a thousand fronts cost the service can't be measured with a thousand processes. An instance without client traffic runs the very control side of a front, many in one process.

Links::stream_on carries many streams on a runtime (1,000 connections were 4,000 threads that look each 10 ms). StoredVersion can do without a store, for experiments.

Not run yet on this commit: crates/lab/tests/hollow.rs, and the figures.

--- a/crates/control-client/src/configuration.rs
+++ b/crates/control-client/src/configuration.rs
@@ -106,6 +106,12 @@
         StoredVersion { own, settings: settings.into(), store, found, usable, version, seed }
     }
 
+    /// Without a store: an instance that starts with nothing, and forgets all at its end. Of experiments.
+    pub fn without_store(own: Versions, settings: &Path, seed: u64) -> StoredVersion {
+        let (found, usable) = (Found::default(), Ok(()));
+        StoredVersion { own, settings: settings.into(), store: None, found, usable, version: None, seed }
+    }
+
     /// Reads keys and certificates; what is to follow the service as `name` is handed back.
     pub fn follower<I: Instance>(self, name: String, instance: I) -> Result<Follower<I>, SetupError> {
         let fault = |what: String| SetupError::Settings { block: "versions", what };
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -3,12 +3,16 @@
 mod agent;
 pub mod budget;
 mod commands;
+pub mod control_rig;
 pub mod fit;
 mod front_state;
+pub mod hollow;
+pub mod hollow_to_real;
 mod members;
 pub mod options;
 mod rollouts;
 mod service;
+mod service_figures;
 pub mod watch;
 
 use std::path::PathBuf;
--- a/crates/standins/src/links.rs
+++ b/crates/standins/src/links.rs
@@ -18,6 +18,7 @@
 use fastrand::Rng;
 use serde::{Deserialize, Serialize};
 
+mod relay;
 use crate::lock;
 
 /// Any name.
