What a front's table of remembered fills knows at 930 accesses a second

`doorgrade-lab fills` plays the very module in virtual time as one front of a site of 23, with objects drawn from Zipf's law over 91 million (rand_distr, no table), the site's copies, and on the same accesses tables of other rules and sizes (lru, moka's TinyLFU) and a site whose fronts each keep a part of the objects. The module is untouched.

Not measured: an hour's room, 40 and 200 accesses a second.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod capacity;
 pub mod cold;
 mod figures;
+pub mod fills;
+pub mod front_state;
 pub mod rig;
 pub mod scale;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -21,7 +21,7 @@
 use doorgrade_lab::capacity::Trouble;
 use doorgrade_lab::capacity::command::{self, Files};
 use doorgrade_lab::scale::{self, ScaleArgs};
-use doorgrade_lab::{Figures, How, rig};
+use doorgrade_lab::{Figures, How, fills, rig};
 
 #[derive(Parser)]
 #[command(name = "doorgrade-lab", version, about = "The project's experiments, a command each")]
@@ -133,6 +133,18 @@
         #[command(flatten)]
         args: Box<ScaleArgs>,
     },
+    /// What a front's table of remembered fills knows at the size to carry, beside other tables, in virtual time: one
+    /// front of a site of 23, with the site's copies; one run takes minutes and 1.5 GB
+    Fills {
+        #[command(flatten)]
+        how: How,
+        /// Accesses a second at a front
+        #[arg(long, default_value_t = 930.0)]
+        rate: f64,
+        /// Zipf's exponent of the objects' popularity
+        #[arg(long, default_value_t = 0.9)]
+        exponent: f64,
+    },
     /// What a line of the log costs at a level that is off, and on
     Log {
         #[command(flatten)]
@@ -229,6 +241,7 @@
             let figures = scale::run(&how, &args).map_err(|e| e.to_string());
             (how, figures)
         }
+        Subject::Fills { how, rate, exponent } => (how.clone(), fills::run(&how, rate, exponent)),
         Subject::Log { how } => (how.clone(), Ok(log::run(&how))),
     };
     match figures {
