--- a/crates/lab/src/front_state/mod.rs
+++ b/crates/lab/src/front_state/mod.rs
@@ -4,5 +4,6 @@
 pub mod cost;
 pub mod play;
 pub mod popularity;
+pub mod real;
 pub mod site;
 pub mod tables;
