--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use doorgrade_fleet::life::{Check, Exit};
+use doorgrade_fleet::instance::{Check, Exit};
 use doorgrade_fleet::{Do, Fleet, Line, Process, Run};
 use doorgrade_stream::now;
 use rustix::process::Signal;
@@ -137,7 +137,7 @@
     }
 
     fn status(&self) -> Status {
-        let row = |(station, i): (&str, &doorgrade_fleet::life::Instance)| Row {
+        let row = |(station, i): (&str, &doorgrade_fleet::instance::Instance)| Row {
             name: i.name.clone(),
             station: station.into(),
             labels: self.places.get(&i.name).map(|p| p.labels.clone()).unwrap_or_default(),
--- a/crates/agent/src/journal.rs
+++ b/crates/agent/src/journal.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
-use doorgrade_fleet::life::Kept;
+use doorgrade_fleet::instance::Kept;
 use doorgrade_store::{Records, Trouble};
 
 pub struct Journal {
--- a/crates/agent/src/probe.rs
+++ b/crates/agent/src/probe.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use doorgrade_fleet::life::Check;
+use doorgrade_fleet::instance::Check;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
--- a/crates/fleet/src/fleet/orders.rs
+++ b/crates/fleet/src/fleet/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{Do, Fleet, Line, MOST_ORDERS, Open};
 use crate::Tenths;
-use crate::life::{Phase, Want};
+use crate::instance::{Phase, Want};
 use crate::order::{MOST_TARGETS, Order, Progress, Refused, What};
 use crate::pace::Budget;
 
--- a/crates/fleet/src/fleet/steps.rs
+++ b/crates/fleet/src/fleet/steps.rs
@@ -2,7 +2,7 @@
 
 use super::{Do, Fleet, LOOK_AGAIN, Line};
 use crate::Tenths;
-use crate::life::{CHECK_EACH, CHECK_START_EACH, KILL_AFTER, Phase, START_WITHIN, Step, Want};
+use crate::instance::{CHECK_EACH, CHECK_START_EACH, KILL_AFTER, Phase, START_WITHIN, Step, Want};
 use crate::pace::most_down;
 
 impl Fleet {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,6 +1,6 @@
 //! Many instances of the program, kept as people want them. Decides, without I/O, clock, threads or chance but a seed:
 //!
-//! - [`life`]: where one instance stands, out of what is told of it: exits, checks, the process table. Each of these may
+//! - [`instance`]: where one instance stands, out of what is told of it: exits, checks, the process table. Each of these may
 //!   come late, twice, wrong or not at all, so each says which start of the instance it speaks of.
 //! - [`order`]: what people ask for. An order names the state that its giver has seen; of two that conflict one wins and the
 //!   other is told by whom and what.
@@ -17,17 +17,21 @@
 #![forbid(unsafe_code)]
 
 pub mod fleet;
-pub mod life;
+pub mod instance;
 pub mod order;
 pub mod pace;
 
 use serde::{Deserialize, Serialize};
 
 pub use fleet::{Do, Fleet, Line};
-pub use life::{Phase, Want};
+pub use instance::{Check, Exit, Phase, Want};
 pub use order::{Order, Refused, What};
 pub use pace::Rules;
 
+/// The name that [`instance`] had; the lab still uses it.
+#[doc(hidden)]
+pub use instance as life;
+
 /// In whole tenths of a millisecond.
 pub type Tenths = u64;
 pub const SECOND: Tenths = 10_000;
--- a/crates/fleet/tests/world.rs
+++ b/crates/fleet/tests/world.rs
@@ -4,7 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
-use doorgrade_fleet::life::{Check, Exit, Kept};
+use doorgrade_fleet::instance::{Check, Exit, Kept};
 use doorgrade_fleet::order::Progress;
 use doorgrade_fleet::{Do, Fleet, Line, Order, Phase, Process, Refused, Rules, Run, SECOND, Want, What};
 use fastrand::Rng;
