Versions: a random run of overlapping rollouts with all faults, and what it found

It found that a front could be offered a lower number than it had just taken and not yet confirmed (what it was offered counts now), and that a trial whose own fronts can't be told apart by any evidence waited for ever (fresh fronts after 20,000 accesses without a verdict).

--- a/crates/versions/src/trial/batch.rs
+++ b/crates/versions/src/trial/batch.rs
@@ -58,6 +58,9 @@
 /// (by trial runs, 4 canaries beside 16: harmless after 1 s, beside 4: after 7.5 s).
 pub(super) const LEAST_CONTROL: usize = 16;
 
+/// An arm that has been asked so much and shows nothing yet will not soon.
+pub(super) const PLENTY: u64 = 20_000;
+
 /// Changes laid on a base: each alone, and all of them.
 struct Laid {
     changes: Vec<u64>,
@@ -290,8 +293,9 @@
             };
             return number.into_iter().for_each(|n| self.take_out(now, n, harm.1.clone()));
         }
-        if self.rules.thin_traffic == ThinTraffic::Wait && batch.blind {
-            // Perhaps they are known by now.
+        let plenty = batch.experiment.arms.iter().any(|a| a.undecided_after(PLENTY));
+        if self.rules.thin_traffic == ThinTraffic::Wait && (batch.blind || plenty) {
+            // Perhaps they are known by now; or it is its fronts, or one that lies, that nothing can be told by.
             self.abandon(Slot::Canary);
             return self.advance(now);
         }
--- a/crates/versions/src/trial/choose.rs
+++ b/crates/versions/src/trial/choose.rs
@@ -160,21 +160,19 @@
     pub(super) fn aim(&mut self, at: usize) {
         let m = &self.members[at];
         let Some(key) = m.place.or(self.proven) else { return };
-        let (Some(id), Some(runs)) = (self.contents.id(key), m.runs) else {
-            return self.steps.push(Step::Offer(at));
-        };
-        if runs.hash == id.hash {
+        let Some(id) = self.contents.id(key) else { return };
+        if m.runs.is_some_and(|runs| runs.hash == id.hash) {
             return;
         }
-        if runs.place() >= id.place() {
-            let version = self.contents.restate(key).cloned();
-            if Some(key) == self.proven
-                && let Some(version) = version
-            {
-                self.dirty = true;
-                self.steps.extend([Step::Base(Some(version.id.number)), Step::Keep(version)]);
-            }
+        // What it was offered may have come to it, though it has not said so yet.
+        let runs = m.runs.map_or((0, 0), |runs| runs.place());
+        let later = runs >= id.place() || m.offered.is_some_and(|o| o > id.place());
+        let restated = if later { self.contents.restate(key).cloned() } else { None };
+        if let Some(version) = restated.filter(|_| Some(key) == self.proven) {
+            self.dirty = true;
+            self.steps.extend([Step::Base(Some(version.id.number)), Step::Keep(version)]);
         }
+        self.members[at].offered = self.contents.id(key).map(|id| id.place());
         self.steps.push(Step::Offer(at));
     }
 }
--- a/crates/versions/src/trial/experiment.rs
+++ b/crates/versions/src/trial/experiment.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Whether nothing can be told though it was asked that much.
+    pub fn undecided_after(&self, plenty: u64) -> bool {
+        matches!(self.comparison.verdict(), Verdict::Undecided { accesses } if accesses >= plenty)
+    }
+
     pub fn harmless(&self) -> bool {
         matches!(self.comparison.verdict(), Verdict::Harmless { .. })
     }
--- a/crates/versions/src/trial/members.rs
+++ b/crates/versions/src/trial/members.rs
@@ -52,6 +52,8 @@
     pub lineage: u64,
     /// The content that it is to have; none: what is proven.
     pub place: Option<Key>,
+    /// The greatest place that it was offered.
+    pub offered: Option<(u64, u64)>,
     /// Contents that it turned down: it is never given them again.
     pub refused: Vec<[u8; 32]>,
     pub seats: [Option<Seat>; SLOTS.len()],
--- a/crates/versions/src/trial/wide.rs
+++ b/crates/versions/src/trial/wide.rs
@@ -1,6 +1,6 @@
 //! A batch on a share of the fronts: all of it together, against a control group as large.
 
-use super::batch::LEAST_CONTROL;
+use super::batch::{LEAST_CONTROL, PLENTY};
 use super::experiment::{Arm, Experiment, Purpose};
 use super::members::{Group, Slot};
 use super::{ChangeState, Stage, ThinTraffic, Trials};
@@ -56,9 +56,11 @@
         let late = now >= batch.experiment.since + self.rules.evidence_within;
         let goes_on = proven || late && self.rules.thin_traffic == ThinTraffic::GoOn;
         if !goes_on {
-            return if late {
-                self.renew_wide(now)
-            };
+            let plenty = batch.experiment.arms.iter().any(|a| a.undecided_after(PLENTY));
+            if late && plenty {
+                self.renew_wide(now);
+            }
+            return;
         }
         let Some(batch) = self.wide.take() else { return };
         if !proven {
--- a/crates/versions/tests/trial_world/mod.rs
+++ b/crates/versions/tests/trial_world/mod.rs
@@ -314,6 +314,10 @@
     pub fn continue_front(&mut self, n: usize) {
         self.hosts[n].stopped = false;
         self.hosts[n].counted = self.now;
+        // The bound runs from when it can be heard again.
+        if self.hosts[n].since > 0 {
+            self.hosts[n].since = self.now;
+        }
         let held = std::mem::take(&mut self.hosts[n].held);
         held.into_iter().for_each(|event| self.at(1, event));
     }
@@ -456,7 +460,13 @@
                         let heard = host.since > 0;
                         assert!(
                             has || !heard || host.front.is_none(),
-                            "{id} told in force while front {n}, connected, lacks it"
+                            "{id} told in force while front {n}, connected, lacks it: it runs {:?}, the service has it at {:?}; {}",
+                            host.front.as_ref().and_then(Front::runs),
+                            self.service.as_ref().and_then(|s| s
+                                .fronts()
+                                .find(|f| f.front == format!("front-{n}"))
+                                .map(|f| (f.connected, f.runs, f.state))),
+                            self.story()
                         );
                     }
                 }
@@ -638,8 +648,10 @@
                 let has = runs.is_some_and(|c| String::from_utf8_lossy(c).contains(token.as_str()));
                 assert!(
                     !has,
-                    "front {n}, connected, runs change {number}, taken out {why:?} {} ago",
-                    self.now - at
+                    "front {n}, connected, runs change {number}, taken out {why:?} {} ago: it runs {:?}, {}",
+                    self.now - at,
+                    host.front.as_ref().and_then(Front::runs),
+                    self.story()
                 );
             }
         }
@@ -700,6 +712,10 @@
                 false => content += &format!("{old}\n"),
             }
         }
+        if !content.contains(&token) {
+            // A service that lost its store has nothing to change.
+            content += &format!("member {line} = {token} {what}\n");
+        }
         let last = self.service.as_ref().map_or(0, Service::last);
         self.publish_content(&content, &token, last)
     }
--- a/crates/versions/tests/trials.rs
+++ b/crates/versions/tests/trials.rs
@@ -422,3 +422,75 @@
     w.pass(10 * SECOND);
     assert_eq!((w.having(ids[1].number), w.having(pending.number)), (0, 0));
 }
+
+/// All faults at once; `World` checks after each step what must never be.
+fn random_run(seed: u64) {
+    let fronts = 40;
+    let mut w = World::settled(seed, fronts, rules());
+    let mut older = w.found.clone();
+    for _ in 0..60 {
+        let n = w.rng.usize(0..fronts);
+        match w.rng.u8(0..20) {
+            0..=5 => {
+                let what = ["", "", "", "harm=0.2", "refuse", "fatal", "pair"][w.rng.usize(0..7)];
+                let _ = w.service.is_some() && w.change(what).is_ok();
+            }
+            6 | 7 if w.hosts[n].front.is_some() => {
+                let after = w.rng.u64(1..20 * SECOND);
+                w.kill_front(n, after);
+            }
+            8 => {
+                let after = w.rng.u64(1..30 * SECOND);
+                (0..4).for_each(|m| w.cut_front((n + m) % fronts, after));
+            }
+            9 => w.stop_front(n),
+            10 => (0..fronts).filter(|n| n % 2 == 0).for_each(|n| w.continue_front(n)),
+            11 => w.kill_service(),
+            12 => older = w.found.clone(),
+            13 if w.service.is_none() => {
+                // What it had taken out it may try anew: it knows nothing of it.
+                w.taken_out.clear();
+                w.found = [older.clone(), Found::default()][w.rng.usize(0..2)].clone();
+            }
+            14 => w.set_storm([0.0, 0.0, 0.1, 0.4][w.rng.clone().usize(0..4)]),
+            15 => w.hosts[n].unruly = !w.hosts[n].unruly,
+            16 => w.hosts[n].lies = [None, Some(0.5), Some(2.0)][w.rng.usize(0..3)],
+            17 => {
+                let number = w.service.as_ref().map_or(0, |s| s.last());
+                let stop = Ask::Stop { number };
+                w.on_service(|s, now, out| s.asked(now, Role::Operator, stop, |_| Ok(()), out));
+            }
+            _ => {}
+        }
+        if w.service.is_none() && w.rng.bool() {
+            w.start_service();
+        }
+        let time = w.rng.u64(1..4 * SECOND);
+        w.pass(time);
+    }
+    // Whoever can hear converges.
+    if w.service.is_none() {
+        w.start_service();
+    }
+    w.set_storm(0.0);
+    for n in 0..fronts {
+        w.continue_front(n);
+        (w.hosts[n].unruly, w.hosts[n].lies) = (false, None);
+    }
+    w.pass(200 * SECOND);
+    let text = format!("end c0; the last of seed {seed}\n");
+    let mut last = w.publish_text(&text);
+    if matches!(last, Err(NotPublished::Superseded { .. })) {
+        w.on_service(|s, _, out| s.take_over(out));
+        last = w.publish_text(&text);
+    }
+    let last = last.expect("it publishes again");
+    let done =
+        w.until(200 * SECOND, |w| w.having(last.number) == fronts && w.in_force.contains_key(&last.number));
+    assert!(done, "seed {seed}: {} of {fronts}: {}", w.having(last.number), w.story());
+}
+
+#[test]
+fn with_all_faults_at_once_what_must_never_be_is_not() {
+    (1_000..1_060).for_each(random_run);
+}
