--- a/crates/lab/src/evidence/simulated.rs
+++ b/crates/lab/src/evidence/simulated.rs
@@ -70,6 +70,8 @@
 /// A tenth of 1,000 fronts beside another.
 pub const WIDE: Trial = Trial { arm: 100, control: 100, ..CANARY };
 
+pub type Reports = Vec<(FrontKey, FrontSample)>;
+
 struct Front {
     station: usize,
     share: f64,
@@ -127,42 +129,58 @@
 }
 
 impl Trial {
-    /// The verdict at each look, in order, until `done` says that it is enough.
-    pub fn play(&self, settings: TestSettings, seed: u64, mut done: impl FnMut(usize, Verdict) -> bool) {
+    /// What the arm and the control group report at each interval, in order, until `done` says that it is enough.
+    pub fn reports(&self, seed: u64, mut done: impl FnMut(usize, &Reports, &Reports) -> bool) {
         let rng = &mut Rng::with_seed(seed);
         let arm: Vec<Front> = (0..self.arm).map(|n| front(rng, self, n % self.stations)).collect();
         // The control group's stations are the arm's, in turn.
         let places = self.arm.min(self.stations);
         let control: Vec<Front> = (0..self.control).map(|n| front(rng, self, n % places)).collect();
         let struck = rng.usize(..places);
-        let mut comparison = Comparison::new(settings);
         for interval in 0..self.intervals {
-            let stormy = STORM.contains(&interval);
-            let mut report = |fronts: &[Front], drop: f64, is_arm: bool| -> Vec<(FrontKey, FrontSample)> {
+            let mut report = |fronts: &[Front], is_arm: bool| -> Reports {
                 let each = fronts.iter().enumerate().map(|(key, f)| {
-                    let left = match self.storm {
-                        Storm::Everywhere if stormy => f.left,
-                        Storm::Station if stormy && f.station == struck => 0.5,
-                        Storm::StationWithoutControl if stormy && is_arm && f.station == struck => 0.5,
-                        _ => 1.0,
-                    };
-                    let asked = ASKED * f.pace;
-                    let asked = (asked + asked.sqrt() * normal(rng)).round().max(0.0) as u64;
-                    let share = (f.share * left * (1.0 - drop) + self.jitter * normal(rng)).clamp(0.0, 1.0);
-                    let counts = Counts { asked, answered: binomial(rng, asked, share) };
+                    let counts = self.counts(rng, f, self.left(f, interval, struck, is_arm), is_arm);
                     let liar = if is_arm && key == 0 { self.liar } else { Liar::None };
                     (key, FrontSample { counts: lie(liar, counts), baseline: f.baseline })
                 });
                 each.collect()
             };
-            let (arm, control) = (report(&arm, self.drop, true), report(&control, 0.0, false));
-            comparison.observe(&arm, &control);
-            if done(interval, comparison.verdict()) {
+            let (arm, control) = (report(&arm, true), report(&control, false));
+            if done(interval, &arm, &control) {
                 return;
             }
         }
     }
 
+    /// Share of its answers that a storm leaves a front.
+    fn left(&self, f: &Front, interval: usize, struck: usize, is_arm: bool) -> f64 {
+        let stormy = STORM.contains(&interval);
+        match self.storm {
+            Storm::Everywhere if stormy => f.left,
+            Storm::Station if stormy && f.station == struck => 0.5,
+            Storm::StationWithoutControl if stormy && is_arm && f.station == struck => 0.5,
+            _ => 1.0,
+        }
+    }
+
+    fn counts(&self, rng: &mut Rng, f: &Front, left: f64, is_arm: bool) -> Counts {
+        let asked = ASKED * f.pace;
+        let asked = (asked + asked.sqrt() * normal(rng)).round().max(0.0) as u64;
+        let drop = if is_arm { self.drop } else { 0.0 };
+        let share = (f.share * left * (1.0 - drop) + self.jitter * normal(rng)).clamp(0.0, 1.0);
+        Counts { asked, answered: binomial(rng, asked, share) }
+    }
+
+    /// The verdict at each look, in order, until `done` says that it is enough.
+    pub fn play(&self, settings: TestSettings, seed: u64, mut done: impl FnMut(usize, Verdict) -> bool) {
+        let mut comparison = Comparison::new(settings);
+        self.reports(seed, |interval, arm, control| {
+            comparison.observe(arm, control);
+            done(interval, comparison.verdict())
+        });
+    }
+
     /// Where it ends if whoever runs the trial stops at the first verdict.
     pub fn first_verdict(&self, settings: TestSettings, seed: u64) -> (Verdict, usize) {
         let mut last = (Verdict::Undecided { accesses: 0 }, 0);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod cold_figures;
 mod config;
+mod evidence;
 mod fleet;
 mod log;
 mod returns;
@@ -116,6 +117,12 @@
         #[arg(long, default_value_t = 7)]
         places: usize,
     },
+    /// How often a trial of a configuration is stopped for nothing, and what it finds after how many accesses, in
+    /// virtual time
+    Evidence {
+        #[command(flatten)]
+        how: How,
+    },
     /// What all fronts of a zone together send a cache that has just started, against what fells it, in virtual time
     Cold {
         #[command(flatten)]
@@ -236,6 +243,7 @@
         }
         Subject::Soak { how, front } => (how.clone(), soak::run(&how, front)),
         Subject::Shares { how, front, places } => (how.clone(), shares::run(&how, front, places)),
+        Subject::Evidence { how } => (how.clone(), Ok(evidence::run(&how))),
         Subject::Cold { how } => (how.clone(), Ok(cold_figures::run(&how))),
         Subject::Scale { how, args } => {
             let figures = scale::run(&how, &args).map_err(|e| e.to_string());
