--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -8,7 +8,7 @@
 mod front_state;
 pub mod hollow;
 pub mod hollow_to_real;
-mod members;
+pub mod members;
 pub mod options;
 mod rollouts;
 mod service;
--- a/crates/lab/tests/scale_run.rs
+++ b/crates/lab/tests/scale_run.rs
@@ -171,3 +171,26 @@
     let _ = child.wait();
     assert!(own && has && !stranger, "{all:?}");
 }
+
+/// The command itself, in the middle of a part.
+#[test]
+fn the_command_ends_in_order_at_sigint() {
+    let mut run = Command::new(env!("CARGO_BIN_EXE_doorgrade-lab"))
+        .args(["scale", "--only", "members"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the lab starts");
+    std::thread::sleep(Duration::from_secs(2));
+    let number = run.id();
+    assert!(run.try_wait().is_ok_and(|s| s.is_none()), "it ended before it was interrupted");
+    kill_process(Pid::from_raw(number as i32).expect("a process"), Signal::INT).expect("signalled");
+    let ended = within(Duration::from_secs(20), || run.try_wait().is_ok_and(|s| s.is_some()));
+    if !ended {
+        let _ = run.kill();
+    }
+    let output = run.wait_with_output().expect("its end");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(ended && !output.status.success() && said.contains("interrupted"), "{:?}: {said}", output.status);
+    assert!(output.stdout.is_empty(), "figures of a run that was interrupted");
+}
