A run's figures in ms, us, MB or KB are taken into the page in its own units

The parts of scale measure some quantities in ms and MB, which 'capacity take' refused and 'capacity check' would have held to seconds and bytes. A test takes and checks one in ms.

--- a/crates/lab/src/capacity/check.rs
+++ b/crates/lab/src/capacity/check.rs
@@ -63,7 +63,7 @@
 /// The mean at each size against the page's: seeds differ, and the page states a mean.
 fn contradicts(figure: &Figure, margin: f64, points: &run::Figure) -> Option<String> {
     points.means().into_iter().find_map(|(fronts, mean)| {
-        let expected = figure.value(fronts as f64);
+        let (mean, expected) = (mean * points.factor(), figure.value(fronts as f64));
         let most = allowed(figure, margin, expected);
         // Written so that what can't be compared is out of date, too.
         let holds = (mean - expected).abs() <= most;
--- a/crates/lab/src/capacity/run.rs
+++ b/crates/lab/src/capacity/run.rs
@@ -124,7 +124,31 @@
     }
 }
 
+/// The page's unit for a run's, and what a value is multiplied by to be in it.
+pub fn unit(name: &str) -> Option<(&'static str, f64)> {
+    Some(match name {
+        "bytes" => ("bytes", 1.0),
+        "KB" => ("bytes", 1e3),
+        "MB" => ("bytes", 1e6),
+        "bytes/s" => ("bytes_per_s", 1.0),
+        "s" | "seconds" => ("seconds", 1.0),
+        "ms" => ("seconds", 1e-3),
+        "us" => ("seconds", 1e-6),
+        "cores" | "core" => ("core", 1.0),
+        "ms/s" => ("core", 1e-3),
+        "share" => ("share", 1.0),
+        "/s" | "1/s" => ("per_s", 1.0),
+        "" | "count" | "entries" | "versions" | "datagrams" => ("count", 1.0),
+        _ => return None,
+    })
+}
+
 impl Figure {
+    /// What values are multiplied by to be in the page's unit; 1 where the unit isn't known, which `take` refuses.
+    pub fn factor(&self) -> f64 {
+        unit(&self.unit).map_or(1.0, |u| u.1)
+    }
+
     /// The mean over seeds at each size.
     pub fn means(&self) -> BTreeMap<usize, f64> {
         let mut sums: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
--- a/crates/lab/src/capacity/take.rs
+++ b/crates/lab/src/capacity/take.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 
 use super::data::{Data, FRONTS};
-use super::run::{Entry, Figure, Run, Shape};
+use super::run::{self, Entry, Figure, Run, Shape};
 use super::trouble::{Trouble, wrong};
 
 /// A later run may differ by so much beyond the interval, unless the entry said otherwise before: this project's machines are
@@ -50,26 +50,20 @@
     Ok(new)
 }
 
-fn unit(entry: &Entry) -> Result<&'static str, Trouble> {
-    Ok(match entry.unit.as_str() {
-        "bytes" => "bytes",
-        "bytes/s" => "bytes_per_s",
-        "s" | "seconds" => "seconds",
-        "cores" | "core" => "core",
-        "share" => "share",
-        "/s" | "1/s" => "per_s",
-        "" | "count" | "entries" | "versions" | "datagrams" => "count",
-        other => {
-            return Err(wrong(
-                &entry.id,
-                format!("is in {other:?}"),
-                "bytes, bytes/s, s, cores, share, /s or count",
-            ));
-        }
+/// The page's unit, and what values are multiplied by to be in it.
+fn unit(entry: &Entry) -> Result<(&'static str, f64), Trouble> {
+    let known = run::unit(&entry.unit);
+    known.ok_or_else(|| {
+        wrong(
+            &entry.id,
+            format!("is in {:?}", entry.unit),
+            "bytes, KB, MB, bytes/s, s, ms, us, cores, ms/s, share, /s or count",
+        )
     })
 }
 
 fn figure(entry: &Entry, points: &Figure, old: Option<&Value>, target: f64) -> Result<Value, Trouble> {
+    let (unit, factor) = unit(entry)?;
     let means = points.means();
     let law = law(entry, &means.iter().map(|(n, v)| (*n as f64, *v)).collect::<Vec<_>>());
     let off = |(size, mean): (&usize, &f64)| match mean.abs() {
@@ -82,11 +76,11 @@
     let mut made = json!({
         "name": entry.id,
         "line": kept("line").unwrap_or_else(|| json!(entry.quantity)),
-        "unit": unit(entry)?,
-        "base": law.base,
-        "per_front": law.per_front,
+        "unit": unit,
+        "base": law.base * factor,
+        "per_front": law.per_front * factor,
         "power": law.power,
-        "half_width": half_width(entry, points, target),
+        "half_width": half_width(entry, points, target) * factor,
         "source": {"measured": {"command": entry.command, "commit": entry.commit, "sizes": entry.sizes, "seeds": entry.seeds,
             "residual": residual, "margin": margin}},
     });
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -240,6 +240,21 @@
     assert!((read("power") - 2.0).abs() < 1e-9 && (read("per_front") - 0.5).abs() < 1e-9, "{worse}");
 }
 
+#[test]
+fn a_run_in_other_steps_of_a_unit_is_taken_and_checked_in_the_pages() {
+    let mut data = small();
+    let mut run = slope("new", "flat", |_| 7.0);
+    run["entries"][0]["unit"] = json!("ms");
+    run["figures"][0]["unit"] = json!("ms");
+    taken(&run, &mut data);
+    assert_eq!(
+        (&data["figures"][3]["unit"], &data["figures"][3]["base"]),
+        (&json!("seconds"), &json!(0.007))
+    );
+    let checked = check(&parse(&data).unwrap(), &Run::parse(&run.to_string()).unwrap());
+    assert_eq!(checked.held, ["new"]);
+}
+
 #[test]
 fn a_run_that_does_not_fit_the_page_is_not_taken() {
     let mut run = slope("heal", "linear", |n| n);
