The test of bytes an entry counts by the lab's own allocator

The lab's library has had a counting allocator since membership was measured by size; a program can have one only, so the test of front-state did not link. The test itself has not run yet.

--- a/crates/lab/tests/front_state_bytes.rs
+++ b/crates/lab/tests/front_state_bytes.rs
@@ -1,24 +1,17 @@
 //! Bytes of each entry that a front keeps, by an allocator that counts: only one thread allocates here. Run it with
 //! `cargo test --release -p doorgrade-lab --test front_state_bytes -- --nocapture` to read the figures.
 
-use std::alloc::System;
-
 use doorgrade::{Offering, Tenths};
+use doorgrade_lab::allocated;
 use doorgrade_lab::front_state::cost::{full_front, purged_front};
 use doorgrade_lab::front_state::play::{self, HOUR, Members};
 use doorgrade_recall::{Fill, Memory, Purge, Rules, Snapshot};
-use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
-
-#[global_allocator]
-static COUNTED: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// Bytes that are kept of what is made.
 fn kept<T>(make: impl FnOnce() -> T) -> (f64, T) {
-    let region = Region::new(COUNTED);
+    let before = allocated() as f64;
     let made = make();
-    let change = region.change();
-    let grown = change.bytes_allocated as f64 - change.bytes_deallocated as f64;
-    (grown, made)
+    (allocated() as f64 - before, made)
 }
 
 fn each(what: &str, entries: u64, bytes: f64, most: f64) {
