--- a/crates/lab/src/capacity/page.rs
+++ b/crates/lab/src/capacity/page.rs
@@ -225,12 +225,9 @@
     };
     let (interval, residual, by, note) = match &figure.source {
         Source::Reckoned { how } => (String::new(), String::new(), how.clone(), String::new()),
-        Source::Measured(m) => (
-            format!("± {}", shown(figure.half_width, figure.unit)),
-            format!("{}%", digits(m.residual * 100.0)),
-            measured_by(m),
-            m.note.clone(),
-        ),
+        Source::Measured(m) => {
+            (interval(figure), format!("{}%", digits(m.residual * 100.0)), measured_by(m), m.note.clone())
+        }
     };
     Slope {
         name: figure.name.clone(),
@@ -250,3 +247,11 @@
     let seeds = join(m.seeds.iter().map(u64::to_string).collect());
     format!("`{}` on {}; sizes {sizes}; seeds {seeds}", m.command, &m.commit)
 }
+
+/// The interval of a measured figure. A single run, or runs that were not fitted, have none.
+fn interval(figure: &Figure) -> String {
+    match figure.half_width {
+        0.0 => "none".into(),
+        half_width => format!("± {}", shown(half_width, figure.unit)),
+    }
+}
