The failing test of inherited descriptors leaves twelve, so that it fails beside load, too

With four it passed where the file's tests ran beside one another (62 and 63 of 64 at the most: fewer connections to caches at once); alone it failed. With twelve it fails both ways.

--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -43,7 +43,8 @@
 /// limit it came to "65 descriptors of 64", with two below it the log said that no descriptor was left.
 #[test]
 fn descriptors_that_a_front_inherits_count_against_its_limit() {
-    idle_clients_take_no_more_than_their_share(&[20, 30, 31, 90]);
+    // So many that the count passes the limit on a busy machine, too, where connections to caches are fewer at once.
+    idle_clients_take_no_more_than_their_share(&[20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 90, 91]);
 }
 
 fn idle_clients_take_no_more_than_their_share(inherited: &[u32]) {
