Descriptors that a front inherits count against its limits

Cause: Bounds shared out all of the limit but fourteen and a hundredth, as if the process held nothing but its standard streams at its start. Whoever starts it may leave it some: two made "65 descriptors of 64", twelve 67; ruled out: a leak (the same count after each of the three pairs of limits), the test's own count (it reads the folder of the front, not its own). Change: what is open when the program begins is counted once (crates/front/src/descriptors.rs) and taken off what the configuration, a version or the machine allows, at the start and at each reload. Under 32 left of its own the start ends with both numbers.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -16,6 +16,7 @@
 use std::process::ExitCode;
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
+use doorgrade_front::descriptors::Descriptors;
 use doorgrade_front::in_use::Place;
 use doorgrade_front::serve::serve;
 
@@ -158,7 +159,8 @@
     match cli.command {
         None | Some(Command::Serve) => {
             let config = config.ok_or("PROXY_CONFIG is not set: expected the path of the configuration")?;
-            serve(Place { config, name, listen, settings }).map(|()| End::Done)
+            let descriptors = Descriptors::at_start();
+            serve(Place { config, name, listen, settings, descriptors }).map(|()| End::Done)
         }
         Some(Command::Check) => check::check(config, name, listen, settings),
         Some(Command::Shape(Shape::Show { file, table, json })) => shape::show(&of_shape(file)?, table, json),
--- a/crates/front/src/bounds.rs
+++ b/crates/front/src/bounds.rs
@@ -10,6 +10,9 @@
 pub const LINE_OUT: usize = 4 * 1024;
 pub const FEED_IN: usize = 16 * 1024;
 
+/// Connections to caches that a front has at least, however few descriptors it may use.
+const LEAST_LINES: usize = 4;
+
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// Clients' connections.
@@ -32,12 +35,12 @@
         const CLIENT: usize = CLIENT_IN + CLIENT_OUT + COROUTINE;
         const LINE: usize = LINE_IN + LINE_OUT + COROUTINE;
         // Clients hold a third of the descriptors at most, the caches' side has what is left.
-        let clients = limits.sockets / 3 + 4;
+        let clients = (limits.sockets / 3 + 4).min(limits.sockets.saturating_sub(other + LEAST_LINES));
         let lines = limits.sockets.saturating_sub(clients + other);
         // An eighth stays for what the allocator can't use; connections take half of the rest at most.
         let room = ((limits.memory_mb << 20) * 7 / 8).saturating_sub(PROGRAM);
         let wanted = clients * CLIENT + lines * LINE;
-        let part = |count: usize| (count * (room / 2).min(wanted) / wanted).max(4);
+        let part = |count: usize| (count * (room / 2).min(wanted) / wanted).max(LEAST_LINES);
         let (clients, lines) = (part(clients), part(lines));
         let bodies = room.saturating_sub(clients * CLIENT + lines * LINE).max(4 * http::MOST_BODY);
         Bounds { clients, lines, bodies }
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use crate::descriptors::Descriptors;
 use crate::feed::{Event, Names};
 
 #[derive(Deserialize)]
@@ -66,8 +67,8 @@
     pub files: Files,
     /// The shape in them came with a version.
     pub whole: bool,
-    /// The descriptors that the machine lets this process have.
-    pub machine: usize,
+    /// What this process may use of the descriptors that it is told of.
+    pub descriptors: Descriptors,
 }
 
 const LEAST_SOCKETS: usize = version::LEAST_SOCKETS as usize;
@@ -150,22 +151,15 @@
             log: file.log.map_or(Ok(LevelFilter::INFO), |level| at("log", level.parse()))?,
             files: Files::default(),
             whole: false,
-            machine: MOST,
+            descriptors: Descriptors::default(),
         })
     }
 
-    /// On a machine that lets this process have so many descriptors, whatever it is told. They are not raised: whoever
-    /// set them meant it.
-    pub fn on(mut self, machine: Option<u64>) -> Result<Config, String> {
-        self.machine = machine.map_or(MOST, |most| usize::try_from(most).unwrap_or(MOST));
-        if self.machine < LEAST_SOCKETS {
-            return Err(format!(
-                "the machine lets this process have {} descriptors, and it needs {LEAST_SOCKETS} at least: raise its limit \
-                 of open files (ulimit -n, LimitNOFILE)",
-                self.machine
-            ));
-        }
-        self.limits.sockets = self.limits.sockets.min(self.machine);
+    /// On a machine that leaves this process so many descriptors, whatever it is told.
+    pub fn on(mut self, descriptors: Descriptors) -> Result<Config, String> {
+        descriptors.check()?;
+        self.descriptors = descriptors;
+        self.limits.sockets = descriptors.own(self.limits.sockets);
         Ok(self)
     }
 
@@ -179,10 +173,11 @@
     /// With what a version says, which goes before all files.
     pub fn overlaid(mut self, version: &Version) -> Config {
         self.log = version.level.map_or(self.log, filter);
-        let most = |told: Option<u64>, own: usize| told.map_or(own, |told| told as usize);
+        let Limits { memory_mb, sockets } = self.limits;
+        let own = |told: u64| self.descriptors.own(told as usize);
         self.limits = Limits {
-            memory_mb: most(version.memory_mb, self.limits.memory_mb),
-            sockets: most(version.sockets, self.limits.sockets).min(self.machine),
+            memory_mb: version.memory_mb.map_or(memory_mb, |told| told as usize),
+            sockets: version.sockets.map_or(sockets, own),
         };
         self.feed = version.feed.unwrap_or(self.feed);
         if let Some(shape) = &version.shape {
--- a/crates/front/src/in_use.rs
+++ b/crates/front/src/in_use.rs
@@ -12,6 +12,7 @@
 
 use crate::config::{Config, Renewal};
 use crate::conn::Event;
+use crate::descriptors::Descriptors;
 use crate::reducer;
 
 /// Where a front finds what it is told.
@@ -24,6 +25,8 @@
     pub listen: Option<String>,
     /// The operators' settings; the usual file if it is there.
     pub settings: Option<PathBuf>,
+    /// What this process may use of the descriptors that it is told of.
+    pub descriptors: Descriptors,
 }
 
 impl Place {
@@ -33,7 +36,7 @@
         let text = std::fs::read_to_string(path);
         let text = text.map_err(|e| format!("PROXY_CONFIG: {}: {e}", path.display()))?;
         let config = Config::read(&text, self.name.clone(), self.listen.clone())?;
-        let config = config.on(rustix::process::getrlimit(rustix::process::Resource::Nofile).current)?;
+        let config = config.on(self.descriptors)?;
         Ok(config.with(files::load(self.settings.as_deref()).map_err(|e| e.to_string())?))
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod config;
 pub mod conn;
+pub mod descriptors;
 pub mod fastcgi;
 pub mod feed;
 pub mod follow;
