The log tells why connections end, requests are refused or tried again, with request ids

Cause: of the incident's five hypotheses the log told none apart; an end of a client's connection left no line unless the client was to blame. Change: each end of a connection, refusal, attempt and answer has a typed reason (reasons.rs) and a line at debug with the request's id; a request whose connection the front ended before its answer is a warning; how often each reason was met follows the line "at the most" every ten seconds. The system's error goes with a broken read or write. The decisions say why they end an access unserved (face.rs: Unserved); what they decide is unchanged.

--- a/crates/benchlink/src/writer.rs
+++ b/crates/benchlink/src/writer.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::io::Write;
 
-use doorgrade::{AccessId, Outlet, Push, Tenths};
+use doorgrade::{AccessId, Outlet, Push, Tenths, Unserved};
 
 #[derive(Default)]
 pub struct Writer {
@@ -68,13 +68,13 @@
         self.who = who;
     }
 
-    fn decline(&mut self, access: AccessId) {
+    fn decline(&mut self, access: AccessId, _: Unserved) {
         let who = std::mem::take(&mut self.who);
         self.put(format_args!("say_no i={who} requestId={access}\n"));
         self.who = who;
     }
 
-    fn give_up(&mut self, access: AccessId) {
+    fn give_up(&mut self, access: AccessId, _: Unserved) {
         let who = std::mem::take(&mut self.who);
         self.put(format_args!("report_failure i={who} requestId={access}\n"));
         self.who = who;
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -11,6 +11,7 @@
 
 use crate::clock;
 use crate::config::Renewal;
+use crate::reasons::Cut;
 use crate::ring::Ring;
 
 pub type ConnId = u64;
@@ -22,9 +23,9 @@
     /// One that was asked for is up, or can't be made.
     Connected(ConnId, io::Result<Port>),
     /// Some bytes were read, or none will come any more.
-    Read { conn: ConnId, ring: Ring, ended: bool, at: Tenths },
+    Read { conn: ConnId, ring: Ring, ended: Option<Cut>, at: Tenths },
     /// All of the ring was written, or no more can be.
-    Wrote { conn: ConnId, ring: Ring, failed: bool },
+    Wrote { conn: ConnId, ring: Ring, failed: Option<Cut> },
     /// The descriptor is given back.
     Closed(ConnId),
     /// Clients' connections can't be accepted: no descriptor, or no memory, is left.
@@ -161,25 +162,29 @@
             let good = end.as_ref().is_some_and(|(end, came)| {
                 !came && end.as_ref().is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
             });
+            let why = match &end {
+                Some((Err(e), false)) => Cut::of(e),
+                _ => Cut::SpokenOn,
+            };
             if let Some(ring) = writing.take_if(|_| !good) {
-                report(events, Event::Wrote { conn, ring, failed: true });
+                report(events, Event::Wrote { conn, ring, failed: Some(why) });
             }
             if let Some(ring) = reading.take_if(|_| !good) {
-                report(events, Event::Read { conn, ring, ended: true, at: clock::unix() });
+                report(events, Event::Read { conn, ring, ended: Some(why), at: clock::unix() });
             }
         }
         if let Some(mut ring) = writing.take() {
             match write(stream, &mut ring) {
-                Ok(()) => report(events, Event::Wrote { conn, ring, failed: false }),
+                Ok(()) => report(events, Event::Wrote { conn, ring, failed: None }),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => writing = Some(ring),
-                Err(_) => report(events, Event::Wrote { conn, ring, failed: true }),
+                Err(e) => report(events, Event::Wrote { conn, ring, failed: Some(Cut::of(&e)) }),
             }
         }
         if let Some(mut ring) = reading.take() {
             let before = ring.len();
             let end = read(stream, &mut ring);
-            let ended = end.as_ref().is_err_and(|e| e.kind() != ErrorKind::WouldBlock);
-            if ring.len() > before || ended {
+            let ended = end.err().filter(|e| e.kind() != ErrorKind::WouldBlock).as_ref().map(Cut::of);
+            if ring.len() > before || ended.is_some() {
                 report(events, Event::Read { conn, ring, ended, at: clock::unix() });
             } else {
                 reading = Some(ring);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod intake;
 pub mod phase;
 pub mod push;
+pub mod reasons;
 pub mod reducer;
 pub mod ring;
 pub mod serve;
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -4,6 +4,7 @@
 mod pushes;
 mod tiers;
 mod told;
+mod trace;
 mod types;
 
 use std::collections::VecDeque;
@@ -22,6 +23,7 @@
 use crate::intake::Request;
 use crate::phase::Phase;
 use crate::push::{Line, Pools, State};
+use crate::reasons::{CacheEnd, ClientEnd, Counts};
 use clients::Client;
 pub use doorgrade_control_client::Learned;
 use tiers::Tiers;
@@ -70,6 +72,7 @@
                 bodies: 0,
                 parked: VecDeque::new(),
                 most: Most::default(),
+                counts: Counts::default(),
                 told_at: now,
                 complaints: 0,
                 complained_at: 0,
@@ -197,7 +200,7 @@
             Timer::Lingered(conn) => {
                 let due = |c: &Client| c.half_closed.is_some_and(|since| since + LINGER <= self.work.now);
                 if self.work.clients.get(&conn).is_some_and(due) {
-                    self.drop_client(conn);
+                    self.drop_client(conn, ClientEnd::Closed);
                 }
             }
             Timer::Phase => {
@@ -242,7 +245,7 @@
     fn closed(&mut self, conn: ConnId) {
         // One that was ended in order is closed when the other side has ended it, too.
         if self.work.clients.contains_key(&conn) {
-            self.drop_client(conn);
+            self.drop_client(conn, ClientEnd::Closed);
         }
         self.work.closing.remove(&conn);
     }
@@ -257,11 +260,16 @@
             if work.listener == Listener::Open {
                 work.listener = Listener::Closing;
                 work.effects.push(Effect::StopListening);
+                let open = work.accesses.values().filter(|t| !t.done).count();
+                tracing::info!(
+                    "requests are declined from now on; {open} open, {} clients",
+                    work.clients.len()
+                );
             }
             // Those that rest until the front ends them, too. Half a request may still become a whole one.
             let rests = |c: &Client| c.owed_nothing() && !c.intake.unfinished();
             let rest: Vec<_> = work.clients.iter().filter(|(_, c)| rests(c)).map(|(&conn, _)| conn).collect();
-            rest.into_iter().for_each(|conn| work.half_close(conn));
+            rest.into_iter().for_each(|conn| work.half_close(conn, ClientEnd::FrontEnds));
         }
         let open = work.accesses.values().any(|t| !t.done);
         let connected = !work.clients.is_empty() || work.listener != Listener::Closed;
@@ -284,7 +292,7 @@
         let old: Vec<_> = work.lines.iter().filter(|(_, l)| old(l)).map(|(&c, l)| (c, l.cache)).collect();
         for (conn, cache) in old {
             work.pools.remove(cache, conn);
-            work.close(conn);
+            work.close_line(conn, CacheEnd::Rested);
         }
         let unread = |c: &Client| c.out.is_none() && c.wrote + UNREAD < now;
         let late =
@@ -294,16 +302,20 @@
             self.work.complain(
                 "a client is silent, reads nothing, or never ends its request: its connection is closed",
             );
-            if self.work.clients.get(&conn).is_some_and(unread) {
-                self.drop_client(conn);
+            let Some(client) = self.work.clients.get(&conn) else { continue };
+            if unread(client) {
+                self.drop_client(conn, ClientEnd::NotReading);
             } else {
-                self.work.half_close(conn);
+                let idle = client.idle_since() + SILENT < now;
+                let why = if idle { ClientEnd::Idle } else { ClientEnd::Unfinished };
+                self.work.half_close(conn, why);
             }
         }
         self.work.unpark();
         if now >= self.work.told_at + TOLD {
             self.work.told_at = now;
             tracing::info!("at the most: {:?}", self.work.most);
+            tracing::info!("since the start: {}", self.work.counts);
         }
     }
 }
@@ -330,6 +342,13 @@
         conn
     }
 
+    fn close_line(&mut self, conn: ConnId, why: CacheEnd) {
+        if let Some(line) = self.lines.get(&conn) {
+            self.trace_cache_end(conn, line.cache, why);
+        }
+        self.close(conn);
+    }
+
     fn close(&mut self, conn: ConnId) {
         let line = self.lines.remove(&conn);
         if let Some(line) = &line {
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -3,12 +3,13 @@
 use doorgrade::{Access, AccessId, Tenths};
 use rustc_hash::FxHashMap;
 
-use super::{Effect, LINGER, Reducer, Taken, Timer, Work};
+use super::{Effect, LINGER, Reducer, Taken, Timer, Work, trace};
 use crate::answer::{Outbox, Reply};
 use crate::bounds;
 use crate::conn::ConnId;
 use crate::fastcgi;
 use crate::intake::{Intake, Request, Said};
+use crate::reasons::{ClientEnd, Cut, Refusal};
 use crate::ring::Ring;
 
 pub(super) struct Client {
@@ -44,11 +45,12 @@
 }
 
 impl Reducer {
-    pub(super) fn client_read(&mut self, conn: ConnId, mut ring: Ring, ended: bool, at: Tenths) {
+    pub(super) fn client_read(&mut self, conn: ConnId, mut ring: Ring, ended: Option<Cut>, at: Tenths) {
         // Nobody waits for an answer to what came with the end: no attempt is to begin for it. An end of writing alone
         // can't be told from a close; web servers of this protocol have no use for it (docs/races.md).
-        if ended {
-            return self.drop_client(conn);
+        if let Some(cut) = ended {
+            tracing::debug!("a client's connection has ended: {cut}");
+            return self.drop_client(conn, ClientEnd::Left);
         }
         if let Some(client) = self.work.clients.get_mut(&conn) {
             // Something had come before its connection was ended.
@@ -63,7 +65,7 @@
             if client.outbox.crowded() {
                 // Not read on, its end and what it gives up would go unseen; read on, it would fill the memory.
                 self.work.complain("a client sends on and reads nothing: its connection is closed");
-                return self.drop_client(conn);
+                return self.drop_client(conn, ClientEnd::Flooding);
             }
             let room = self.work.bounds.bodies.saturating_sub(self.work.bodies);
             let said = client.intake.next(&mut ring, room);
@@ -77,7 +79,7 @@
                 Ok(None) => break,
                 Err(fastcgi::Broken) => {
                     self.work.complain("a client's record can't be read");
-                    return self.drop_client(conn);
+                    return self.drop_client(conn, ClientEnd::Unreadable);
                 }
             }
         }
@@ -101,6 +103,7 @@
             }
             Said::Unusable(id, status, why) => {
                 work.complain(why);
+                work.trace_refusal("", status, Refusal::Unusable);
                 work.reply(conn, id, Reply::bare(status));
             }
             Said::Twice(id) => {
@@ -132,17 +135,22 @@
         let work = &mut self.work;
         let Some(offering) = work.offerings.iter().position(|o| *o == request.offering) else {
             work.complain("a request's class is unknown");
+            work.trace_refusal(&request.id, 404, Refusal::Unusable);
             return work.reply(conn, id, Reply::bare(404));
         };
         // Caches tell accesses apart by it: the first must not suffer.
         let open = work.by_id.get(&request.call).and_then(|first| work.accesses.get(first));
         if open.is_some_and(|t| !t.done) {
             work.complain("a request's Req-Id is open already");
+            work.trace_refusal(&request.id, 400, Refusal::Unusable);
             return work.reply(conn, id, Reply::bare(400));
         }
         // Nothing was pushed yet, so trying again is harmless.
-        if !work.phase.takes(work.now) || work.bodies + 2 * request.body.len() > work.bounds.bodies {
+        let room = work.bodies + 2 * request.body.len() <= work.bounds.bodies;
+        if !work.phase.takes(work.now) || !room {
             work.served.ended += 1;
+            let why = if room { Refusal::Ending } else { Refusal::NoRoom };
+            work.trace_refusal(&request.id, 503, why);
             return work.reply(conn, id, Reply::bare(503));
         }
         let Some(client) = work.clients.get_mut(&conn) else { return };
@@ -172,6 +180,7 @@
         let taken = Taken { client: conn, id, request, repeatable, done, sent, soft_at, worth, aim };
         work.accesses.insert(access, taken);
         work.most.accesses = work.most.accesses.max(work.accesses.len());
+        work.trace_taken(access);
         self.front.access(work.now, &asked, work);
     }
 
@@ -187,22 +196,23 @@
         }
     }
 
-    pub(super) fn drop_client(&mut self, conn: ConnId) {
+    pub(super) fn drop_client(&mut self, conn: ConnId, why: ClientEnd) {
         let Some(client) = self.work.clients.remove(&conn) else { return };
+        let open: Vec<_> = client.accesses.values().copied().collect();
+        self.work.trace_client_end(conn, why, &open);
         self.work.bodies = self.work.bodies.saturating_sub(client.outbox.held + client.intake.held());
         self.work.close(conn);
-        for access in client.accesses.into_values() {
-            self.leave(access);
-        }
+        open.into_iter().for_each(|access| self.leave(access));
         self.work.unpark();
     }
 
-    pub(super) fn client_wrote(&mut self, conn: ConnId, ring: Ring, failed: bool) {
+    pub(super) fn client_wrote(&mut self, conn: ConnId, ring: Ring, failed: Option<Cut>) {
         let work = &mut self.work;
         let Some(client) = work.clients.get_mut(&conn) else { return };
         client.out = Some(ring);
-        if failed {
-            return self.drop_client(conn);
+        if let Some(cut) = failed {
+            tracing::debug!("a write to a client failed: {cut}");
+            return self.drop_client(conn, ClientEnd::WriteFailed);
         }
         work.write_client(conn);
         work.half_close_last(conn);
@@ -211,9 +221,10 @@
 
 impl Work {
     /// Ends a client's connection in order: it is closed when the other side has ended it, too, or takes too long.
-    pub(super) fn half_close(&mut self, conn: ConnId) {
+    pub(super) fn half_close(&mut self, conn: ConnId, why: ClientEnd) {
         if let Some(client) = self.clients.get_mut(&conn).filter(|c| c.half_closed.is_none()) {
             client.half_closed = Some(self.now);
+            tracing::debug!("a client's connection is to end: {why}");
             self.effects.push(Effect::HalfClose(conn, client.intake.deaf));
             self.timers.set(self.now + LINGER, Timer::Lingered(conn));
         }
@@ -223,7 +234,7 @@
     fn half_close_last(&mut self, conn: ConnId) {
         let over = |c: &Client| c.last && c.intake.open() == 0 && c.outbox.is_empty() && c.out.is_some();
         if self.clients.get(&conn).is_some_and(over) {
-            self.half_close(conn);
+            self.half_close(conn, ClientEnd::LastRequest);
         }
     }
 
@@ -238,6 +249,7 @@
     fn close_client(&mut self) -> Option<()> {
         let conn = self.idle_longest(true).or_else(|| self.idle_longest(false))?;
         let gone = self.clients.remove(&conn);
+        self.trace_client_end(conn, ClientEnd::Evicted, &[]);
         self.bodies = self.bodies.saturating_sub(gone.map_or(0, |c| c.intake.held()));
         self.close(conn);
         Some(())
@@ -257,11 +269,12 @@
         if self.clients.len() + SPARE >= self.bounds.clients
             && let Some(oldest) = self.idle_longest(false)
         {
-            self.half_close(oldest);
+            self.half_close(oldest, ClientEnd::Evicted);
         }
         while self.clients.len() >= self.bounds.clients {
             if self.close_client().is_none() {
                 self.complain("no descriptor left for a client");
+                self.trace_client_end(conn, ClientEnd::NoPlace, &[]);
                 return self.close(conn);
             }
         }
@@ -280,6 +293,11 @@
         // What was lent is taken back, as far as it is not in use.
         while self.lines_used() > self.bounds.lines_with(self.clients.len()) && self.close_idle().is_some() {}
         self.most.clients = self.most.clients.max(self.clients.len());
+        tracing::debug!(
+            connection = trace::number(conn),
+            clients = self.clients.len(),
+            "client's connection"
+        );
         self.effects.push(Effect::Read(conn, Ring::new(bounds::CLIENT_IN)));
     }
 
@@ -339,7 +357,9 @@
             }
             self.served.ended += u64::from(first);
             self.served.answered += u64::from(first && in_time);
+            let status = reply.status;
             let (client, id) = (taken.client, taken.id);
+            self.trace_answer(access, status);
             self.reply(client, id, reply);
             self.stop_unsent(access);
         }
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use doorgrade::{Access, AccessId, Outcome, Outlet, Push, Tenths, Ways};
+use doorgrade::{Access, AccessId, Outcome, Outlet, Push, Tenths, Unserved, Ways};
 
 use super::{Effect, Made, Taken, Timer, Work};
 use crate::answer::Reply;
@@ -10,6 +10,7 @@
 use crate::conn::ConnId;
 use crate::http::{self, Ask};
 use crate::push::{self, Got, Line, Pools, Progress, State};
+use crate::reasons::{CacheEnd, Cut};
 use crate::ring::Ring;
 
 pub(super) struct Sent {
@@ -22,6 +23,8 @@
     /// It is not begun from then on: caches would not know it for a repeat any more.
     pub(super) begin_by: Tenths,
     pub(super) live: bool,
+    /// What came of it, for the log.
+    pub(super) ended: Option<Outcome>,
     /// A new connection was lost before anything was written on it.
     pub(super) unlucky: bool,
     /// Refused as full on a new connection: its cache may hold no more of them.
@@ -56,7 +59,7 @@
         match carries {
             Some((access, push)) => self.send(conn, access, push),
             None if self.places.get(&cache) == Some(&place) => self.pools.put(cache, conn, self.now),
-            None => self.close(conn),
+            None => self.close_line(conn, CacheEnd::Unlisted),
         }
     }
 
@@ -78,14 +81,18 @@
         }
     }
 
-    pub(super) fn line_wrote(&mut self, conn: ConnId, mut ring: Ring, failed: bool) {
+    pub(super) fn line_wrote(&mut self, conn: ConnId, mut ring: Ring, failed: Option<Cut>) {
         if let Some(line) = self.lines.get_mut(&conn) {
-            if failed && let Some(request) = line.unwritten(&mut ring) {
+            if failed.is_some()
+                && let Some(request) = line.unwritten(&mut ring)
+            {
                 return self.begin_anew(conn, request);
             }
             (line.out, line.beginning) = (Some(ring), false);
             // A failed write is not the end yet: an answer may be there to be read.
-            if !failed && let Some(ring) = line.to_write() {
+            if failed.is_none()
+                && let Some(ring) = line.to_write()
+            {
                 self.effects.push(Effect::Write(conn, ring));
             }
         }
@@ -96,7 +103,7 @@
     fn begin_anew(&mut self, conn: ConnId, request: Vec<u8>) {
         let Some(line) = self.lines.get_mut(&conn) else { return };
         let (cache, kept, carries) = (line.cache, line.kept, line.carries.take());
-        self.close(conn);
+        self.close_line(conn, CacheEnd::LostAtRest);
         let Some((access, push)) = carries else { return };
         let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) else { return };
         let lost = !kept && std::mem::replace(&mut sent.unlucky, true);
@@ -111,7 +118,7 @@
         }
     }
 
-    pub(super) fn line_read(&mut self, conn: ConnId, mut ring: Ring, ended: bool) {
+    pub(super) fn line_read(&mut self, conn: ConnId, mut ring: Ring, ended: Option<Cut>) {
         let room = self.bounds.bodies.saturating_sub(self.bodies);
         let Some(line) = self.lines.get_mut(&conn) else { return };
         let before = line.held();
@@ -132,8 +139,14 @@
                 if let Some(sent) = taken.and_then(|(t, push)| t.sent.get_mut(push)) {
                     sent.crowded_out = !kept && got.outcome == Outcome::Full;
                 }
-                if ended || closes || once || self.places.get(&cache) != Some(&place) {
-                    self.close(conn);
+                let unlisted = self.places.get(&cache) != Some(&place);
+                if ended.is_some() || closes || once || unlisted {
+                    let why = match () {
+                        () if unlisted => CacheEnd::Unlisted,
+                        () if once => CacheEnd::UsedOnce,
+                        () => CacheEnd::AfterAnswer,
+                    };
+                    self.close_line(conn, why);
                 } else {
                     if let Some(line) = self.lines.get_mut(&conn) {
                         (line.state, line.kept) = (State::Idle, true);
@@ -147,12 +160,15 @@
             }
             // The end of its writing will tell.
             Progress::More if line.beginning => {}
-            Progress::More if !ended => self.effects.push(Effect::Read(conn, ring)),
-            Progress::Needs if !ended => {
+            Progress::More if ended.is_none() => self.effects.push(Effect::Read(conn, ring)),
+            Progress::Needs if ended.is_none() => {
                 line.parked = Some(ring);
                 self.parked.push_back(conn);
             }
-            Progress::More | Progress::Needs => self.break_line(conn, "it ended too soon"),
+            Progress::More | Progress::Needs => match ended {
+                Some(cut) => self.break_line(conn, &format!("it ended too soon: {cut}")),
+                None => self.break_line(conn, "it ended too soon"),
+            },
             Progress::Broken(why) => self.break_line(conn, why),
         }
     }
@@ -161,7 +177,7 @@
         let Some(line) = self.lines.get_mut(&conn) else { return };
         let (cache, carries) = (line.cache, line.carries.take());
         self.pools.remove(cache, conn);
-        self.close(conn);
+        self.close_line(conn, CacheEnd::Broken);
         if let Some((access, push)) = carries {
             let member = format_args!("s-{cache:08x}");
             tracing::info!(member = %member, "an answer of {member} is broken: {why}");
@@ -174,7 +190,7 @@
         for _ in 0..self.parked.len() {
             let Some(conn) = self.parked.pop_front() else { return };
             if let Some(ring) = self.lines.get_mut(&conn).and_then(|l| l.parked.take()) {
-                self.line_read(conn, ring, false);
+                self.line_read(conn, ring, None);
             }
         }
     }
@@ -183,6 +199,7 @@
         if let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) {
             (sent.live, sent.conn, sent.request) = (false, None, Vec::new());
         }
+        self.trace_push_end(access, push, &got);
         self.ends.push_back((access, push, got));
     }
 
@@ -200,7 +217,7 @@
         {
             line.carries = None;
             if line.state != State::Connecting {
-                self.close(conn);
+                self.close_line(conn, CacheEnd::GivenUp);
             }
         }
         self.end_push(access, push, Got::bare(outcome));
@@ -240,7 +257,7 @@
         let idle = self.lines.iter().filter(|(_, l)| l.state == State::Idle && l.carries.is_none());
         let (conn, cache) = idle.min_by_key(|(_, l)| l.since).map(|(&c, l)| (c, l.cache))?;
         self.pools.remove(cache, conn);
-        self.close(conn);
+        self.close_line(conn, CacheEnd::Displaced);
         // Its descriptor is given back before the next is asked for: effects go in order.
         self.closing.insert(conn, false);
         Some(())
@@ -283,6 +300,7 @@
     }
 
     fn push(&mut self, p: &Push<'_>) {
+        self.trace_push(p.access, p.cache, p.source);
         let Some(taken) = self.accesses.get_mut(&p.access) else { return };
         let number = taken.sent.len();
         let r = &*taken.request;
@@ -305,7 +323,7 @@
             via: self.tiers.as_ref().and_then(|t| t.via.as_deref()),
         };
         let request = http::request(&ask);
-        tracing::debug!("push {:?}", String::from_utf8_lossy(&request));
+        tracing::trace!("request {:?}", String::from_utf8_lossy(&request));
         let cache = push::number(p.cache).unwrap_or(u32::MAX);
         let names = [Some(cache), ask.source.and_then(push::number)];
         taken.sent.push(Sent {
@@ -315,6 +333,7 @@
             request,
             begin_by: p.begin_by,
             live: true,
+            ended: None,
             unlucky: false,
             crowded_out: false,
             outdated: false,
@@ -334,12 +353,14 @@
         self.stop_push(access, push, Outcome::Withdrawn);
     }
 
-    fn decline(&mut self, access: AccessId) {
+    fn decline(&mut self, access: AccessId, why: Unserved) {
+        self.trace_decided(access, 503, why);
         self.answer(access, Reply::bare(503));
         self.tidy(access);
     }
 
-    fn give_up(&mut self, access: AccessId) {
+    fn give_up(&mut self, access: AccessId, why: Unserved) {
+        self.trace_decided(access, 500, why);
         self.answer(access, Reply::bare(500));
         self.tidy(access);
     }
--- a/crates/front/src/reducer/told.rs
+++ b/crates/front/src/reducer/told.rs
@@ -11,6 +11,7 @@
 use crate::feed;
 use crate::intake::Request;
 use crate::push::{self, Place};
+use crate::reasons::{CacheEnd, Cut};
 use crate::ring::Ring;
 
 impl Reducer {
@@ -58,7 +59,7 @@
         }
     }
 
-    pub(super) fn feed_read(&mut self, conn: ConnId, mut ring: Ring, ended: bool) {
+    pub(super) fn feed_read(&mut self, conn: ConnId, mut ring: Ring, ended: Option<Cut>) {
         loop {
             match self.work.feed.take(&mut ring, &self.work.names, self.work.now) {
                 Ok(Some(event)) => self.hear(event),
@@ -72,8 +73,8 @@
                 }
             }
         }
-        if ended {
-            tracing::info!("feed: connection lost");
+        if let Some(cut) = ended {
+            tracing::info!("feed: connection lost: {cut}");
             self.work.lose_feed();
         } else {
             self.work.effects.push(Effect::Read(conn, ring));
@@ -108,6 +109,7 @@
             let delay = self.feed.lost();
             return self.timers.set(self.now + delay, Timer::FeedConnect);
         }
+        tracing::info!("feed: connected, after event {}", self.feed.number);
         let mut ring = Ring::new(8);
         ring.put(&self.feed.begin(self.now));
         self.effects.push(Effect::Write(conn, ring));
@@ -135,6 +137,8 @@
         }
         for listed in members {
             let Some(cache) = push::number(&listed.member.id) else { continue };
+            let (member, standing) = (&*listed.member.id, listed.member.standing);
+            tracing::debug!(member, ?standing, started = listed.member.started, "listed");
             let place = Place { at: listed.at, started: listed.member.started };
             let moved = self.places.get(&cache).is_some_and(|p| *p != place);
             if listed.member.standing == Standing::Gone {
@@ -153,7 +157,7 @@
 
     pub(super) fn drop_idle(&mut self, cache: u32) {
         for conn in self.pools.drop_all(cache) {
-            self.close(conn);
+            self.close_line(conn, CacheEnd::Unlisted);
         }
     }
 }
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -21,6 +21,7 @@
 use crate::intake::Request;
 use crate::phase::Phase;
 use crate::push::{Got, Line, Place, Pools};
+use crate::reasons::{Counts, Cut};
 use crate::ring::Ring;
 
 /// What came of a connection that was asked for.
@@ -40,13 +41,13 @@
     Read {
         conn: ConnId,
         ring: Ring,
-        ended: bool,
+        ended: Option<Cut>,
         at: Tenths,
     },
     Wrote {
         conn: ConnId,
         ring: Ring,
-        failed: bool,
+        failed: Option<Cut>,
     },
     Closed(ConnId),
     /// Clients' connections can't be accepted for want of descriptors or memory.
@@ -196,6 +197,7 @@
     /// Connections whose answers wait for room.
     pub(super) parked: VecDeque<ConnId>,
     pub(super) most: Most,
+    pub(super) counts: Counts,
     pub(super) told_at: Tenths,
     /// Not yet in the log, and when the last was.
     pub(super) complaints: usize,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -173,7 +173,7 @@
     fn put(&mut self, event: Event) {
         let leaves = match &event {
             Event::Read { conn, ended, ring, .. } if *conn >= accept::FIRST => {
-                *ended || matches!(ring.front(), [1, fastcgi::ABORT_REQUEST, ..])
+                ended.is_some() || matches!(ring.front(), [1, fastcgi::ABORT_REQUEST, ..])
             }
             _ => false,
         };
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -11,6 +11,7 @@
 use doorgrade_front::config::Config;
 use doorgrade_front::conn::ConnId;
 use doorgrade_front::fastcgi::{self, Decoder};
+use doorgrade_front::reasons::Cut;
 use doorgrade_front::reducer::{Effect, Input, Reducer};
 use doorgrade_front::ring::Ring;
 use doorgrade_operator::Files;
@@ -189,13 +190,23 @@
                 }
             }
             Effect::Begin(conn, ring) if self.spoilt.remove(&conn) => {
-                self.input(Input::Wrote { conn, ring, failed: true });
-                self.input(Input::Read { conn, ring: Ring::new(8), ended: true, at: self.now - self.back });
+                self.input(Input::Wrote { conn, ring, failed: Some(Cut::Ended) });
+                self.input(Input::Read {
+                    conn,
+                    ring: Ring::new(8),
+                    ended: Some(Cut::Ended),
+                    at: self.now - self.back,
+                });
             }
             Effect::Begin(conn, mut ring) if self.cut_writes.is_some() => {
                 ring.consume(self.cut_writes.take().unwrap_or(0));
-                self.input(Input::Wrote { conn, ring, failed: true });
-                self.input(Input::Read { conn, ring: Ring::new(8), ended: true, at: self.now - self.back });
+                self.input(Input::Wrote { conn, ring, failed: Some(Cut::Ended) });
+                self.input(Input::Read {
+                    conn,
+                    ring: Ring::new(8),
+                    ended: Some(Cut::Ended),
+                    at: self.now - self.back,
+                });
             }
             Effect::Write(conn, mut ring) | Effect::Begin(conn, mut ring) => {
                 let Some(c) = self.conns.get_mut(&conn).filter(|_| !self.stuck.contains(&conn)) else {
@@ -204,7 +215,7 @@
                 c.got.extend_from_slice(ring.whole());
                 ring.clear();
                 self.understand(conn);
-                self.input(Input::Wrote { conn, ring, failed: false });
+                self.input(Input::Wrote { conn, ring, failed: None });
             }
             Effect::HalfClose(conn, discard) => {
                 let Some(c) = self.conns.get(&conn) else { return };
@@ -245,6 +256,7 @@
         let count = ring.put(&c.owed[..self.rng.usize(most.min(1)..=most)]);
         c.owed.drain(..count);
         let (ended, at) = (c.ended && c.owed.is_empty(), self.now - self.back);
+        let ended = ended.then_some(Cut::Ended);
         self.input(Input::Read { conn, ring, ended, at });
     }
 
--- a/crates/hierarchy/tests/guide.rs
+++ b/crates/hierarchy/tests/guide.rs
@@ -306,11 +306,11 @@
         self.coming.push((at, access, push, Some(Outcome::Withdrawn)));
     }
 
-    fn decline(&mut self, access: AccessId) {
+    fn decline(&mut self, access: AccessId, _: Unserved) {
         self.finish(access, true);
     }
 
-    fn give_up(&mut self, access: AccessId) {
+    fn give_up(&mut self, access: AccessId, _: Unserved) {
         self.finish(access, false);
     }
 
--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -88,10 +88,10 @@
         self.pushed.push((p.access, place(p.cache), place(p.source), p.kept_only));
     }
     fn withdraw(&mut self, _: AccessId, _: usize) {}
-    fn decline(&mut self, _: AccessId) {
+    fn decline(&mut self, _: AccessId, _: Unserved) {
         self.declined += 1;
     }
-    fn give_up(&mut self, _: AccessId) {
+    fn give_up(&mut self, _: AccessId, _: Unserved) {
         self.declined += 1;
     }
     /// Every answer is in time here, so none is overdue.
--- a/crates/lab/src/front_state/play.rs
+++ b/crates/lab/src/front_state/play.rs
@@ -79,8 +79,8 @@
         std::hint::black_box(p);
     }
     fn withdraw(&mut self, _: AccessId, _: usize) {}
-    fn decline(&mut self, _: AccessId) {}
-    fn give_up(&mut self, _: AccessId) {}
+    fn decline(&mut self, _: AccessId, _: Unserved) {}
+    fn give_up(&mut self, _: AccessId, _: Unserved) {}
     fn wake(&mut self, at: Tenths, _: u64) {
         std::hint::black_box(at);
     }
@@ -104,10 +104,10 @@
     fn withdraw(&mut self, access: AccessId, push: usize) {
         self.withdrawn.push((access, push));
     }
-    fn decline(&mut self, _: AccessId) {
+    fn decline(&mut self, _: AccessId, _: Unserved) {
         self.declined += 1;
     }
-    fn give_up(&mut self, _: AccessId) {
+    fn give_up(&mut self, _: AccessId, _: Unserved) {
         self.declined += 1;
     }
     fn wake(&mut self, at: Tenths, key: u64) {
--- a/src/control/access.rs
+++ b/src/control/access.rs
@@ -38,14 +38,17 @@
     pub(super) fn route(&mut self, now: Tenths, place: usize, out: &mut dyn Outlet) {
         let h = &self.held[place];
         let a = h.access;
-        if h.sent.len() >= self.max_pushes || now + self.margin >= a.until {
-            return self.finish(place, out);
+        if h.sent.len() >= self.max_pushes {
+            return self.finish(place, Unserved::OutOfPushes, out);
+        }
+        if now + self.margin >= a.until {
+            return self.finish(place, Unserved::OutOfTime, out);
         }
         if self.classes[a.offering].of.uncacheable {
             let cache = if self.may.straight { self.origin } else { self.pick_cache(now, place).ok() };
             return match cache.filter(|&c| self.may_repeat_at(now, place, c)).zip(self.origin) {
                 Some((cache, origin)) => self.push(now, place, (cache, origin), Self::after_push, out),
-                None => self.finish(place, out),
+                None => self.finish(place, Unserved::NoCache, out),
             };
         }
         let ways = out.ways(&a, h.soft_at);
@@ -102,7 +105,9 @@
                 let number = self.held[place].sent.len() as u64;
                 out.wake(ways.again.map_or(now, |at| at.max(now + 1)), a.id << 4 | number);
             }
-            _ => self.finish(place, out),
+            (Err(true), _) => self.finish(place, Unserved::Crowded, out),
+            (Err(false), _) => self.finish(place, Unserved::NoCache, out),
+            (Ok(_), None) => self.finish(place, Unserved::NoSource, out),
         }
     }
 
--- a/src/control/push.rs
+++ b/src/control/push.rs
@@ -92,8 +92,15 @@
         }
         let cost = if e.outcome.proves_unrun() { 0.25 } else { 1.0 };
         let h = &self.held[place];
-        if self.spare_pushes < cost || e.note == Note::OriginFailed || h.kept || h.failed_twice() {
-            return self.finish(place, out);
+        let over = match e.note {
+            _ if self.spare_pushes < cost => Some(Unserved::NoSparePushes),
+            Note::OriginFailed => Some(Unserved::OriginFailed),
+            _ if h.kept => Some(Unserved::NotHeld),
+            _ if h.failed_twice() => Some(Unserved::FailedTwice),
+            _ => None,
+        };
+        if let Some(why) = over {
+            return self.finish(place, why, out);
         }
         self.spare_pushes -= cost;
         self.route(now, place, out);
@@ -151,7 +158,7 @@
     }
 
     /// Ends the access at once: a decline where it may be said that a further try is harmless.
-    pub(super) fn finish(&mut self, place: usize, out: &mut dyn Outlet) {
+    pub(super) fn finish(&mut self, place: usize, why: Unserved, out: &mut dyn Outlet) {
         let h = &self.held[place];
         let harmless = match self.effect(&h.access) {
             Effect::Idempotent | Effect::Deduplicated { within: Group::All, .. } => true,
@@ -160,9 +167,9 @@
         if harmless {
             // No advice to stay away goes with it, though clients might heed it: their own waits spread them,
             // and whoever comes back later finds less of the soft limit left.
-            out.decline(h.access.id);
+            out.decline(h.access.id, why);
         } else {
-            out.give_up(h.access.id);
+            out.give_up(h.access.id, why);
         }
         self.close(place, out);
         self.tidy(place);
@@ -218,6 +225,6 @@
     /// The front is about to stop: what is still open ends now.
     pub fn stop(&mut self, out: &mut dyn Outlet) {
         let open: Vec<_> = self.held.iter().filter(|(_, h)| !h.done).map(|(place, _)| place).collect();
-        open.into_iter().for_each(|place| self.finish(place, out));
+        open.into_iter().for_each(|place| self.finish(place, Unserved::FrontEnds, out));
     }
 }
--- a/src/face.rs
+++ b/src/face.rs
@@ -168,6 +168,47 @@
     pub made: Option<Tenths>,
 }
 
+/// Why an access ends without an answer of a cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Unserved {
+    /// Its hard limit is too near for another push.
+    OutOfTime,
+    /// It has had as many pushes as the settings allow.
+    OutOfPushes,
+    /// Caches that are well have as much out as they answer in time.
+    Crowded,
+    /// No cache that may be asked is well, warm enough, or in the group that knows a repeat.
+    NoCache,
+    /// No source of a fill is well or has room.
+    NoSource,
+    /// The fund for further pushes is empty.
+    NoSparePushes,
+    OriginFailed,
+    /// Nobody holds it, and while the origin refuses nobody fetches it.
+    NotHeld,
+    /// Two caches failed it.
+    FailedTwice,
+    /// The front is about to stop.
+    FrontEnds,
+}
+
+impl std::fmt::Display for Unserved {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Unserved::OutOfTime => "out of time",
+            Unserved::OutOfPushes => "out of attempts",
+            Unserved::Crowded => "caches are crowded",
+            Unserved::NoCache => "no cache may be asked",
+            Unserved::NoSource => "no source to fill from",
+            Unserved::NoSparePushes => "no retries to spare",
+            Unserved::OriginFailed => "the origin failed",
+            Unserved::NotHeld => "nobody holds it",
+            Unserved::FailedTwice => "failed twice",
+            Unserved::FrontEnds => "the front ends",
+        })
+    }
+}
+
 /// One push of an access, as it goes out.
 #[derive(Clone, Copy, Debug)]
 pub struct Push<'a> {
@@ -218,8 +259,8 @@
 
     fn push(&mut self, push: &Push<'_>);
     fn withdraw(&mut self, access: AccessId, push: usize);
-    fn decline(&mut self, access: AccessId);
-    fn give_up(&mut self, access: AccessId);
+    fn decline(&mut self, access: AccessId, why: Unserved);
+    fn give_up(&mut self, access: AccessId, why: Unserved);
     fn wake(&mut self, at: Tenths, key: u64);
     fn follow_list(&mut self);
     fn log(&mut self, text: std::fmt::Arguments<'_>);
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -226,11 +226,11 @@
         assert!(self.set.may.cancels && push < self.told[&access].pushes.len());
     }
 
-    fn decline(&mut self, access: AccessId) {
+    fn decline(&mut self, access: AccessId, _: Unserved) {
         self.finish(access, true);
     }
 
-    fn give_up(&mut self, access: AccessId) {
+    fn give_up(&mut self, access: AccessId, _: Unserved) {
         self.finish(access, false);
     }
 
