--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -224,7 +224,7 @@
     pub(super) fn half_close(&mut self, conn: ConnId, why: ClientEnd) {
         if let Some(client) = self.clients.get_mut(&conn).filter(|c| c.half_closed.is_none()) {
             client.half_closed = Some(self.now);
-            tracing::debug!("a client's connection is to end: {why}");
+            tracing::debug!(connection = trace::number(conn), "a client's connection is to end: {why}");
             self.effects.push(Effect::HalfClose(conn, client.intake.deaf));
             self.timers.set(self.now + LINGER, Timer::Lingered(conn));
         }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod links;
 pub mod member;
 pub mod process;
+pub mod shim;
 pub mod timeline;
 pub mod versions;
 mod wire;
