A connection's end is dropped where a request on it was read before it was asked for

Cause (class: a command carried out after the state that justified it had changed). The reducer asks for an end in order while it takes a connection to be at rest; what was read there may wait in its queue. The coroutine is meant to drop the order while its ring is with the reducer, but it emptied its whole mailbox first and only then looked whether it had the ring: with HalfClose and the Read that follows the taken request waiting together it had. conn.rs, pump: `Ok(Job::HalfClose { discard }) => half_closed = Some(discard)` and, after the loop, `reading.is_some()`. Ruled out by the new log and the test: a record that can't be read, a failed read or write, an eviction at once, the death of the process. Change: jobs are judged in their order; an end asked for without the ring is dropped there and then. The coroutine's state is one struct with short functions. A full mailbox, which would hang a connection, is an error in the log and no longer silent. A failed wait of the fleet's tests tells what each front sees and its log.

--- a/crates/cli/tests/helper/fleet.rs
+++ b/crates/cli/tests/helper/fleet.rs
@@ -127,11 +127,19 @@
 
     pub fn all_see(&self, who: std::ops::Range<usize>, whom: std::ops::Range<usize>) {
         let whom = names(whom);
-        until(&format!("n{who:?} see {whom:?}"), || {
-            who.clone().all(|n| {
-                self.picture(n) == whom && self.ask(n).is_some_and(|s| s.standing == Standing::Among)
-            })
-        });
+        let sees = |n| self.picture(n) == whom && self.ask(n).is_some_and(|s| s.standing == Standing::Among);
+        let begun = Instant::now();
+        while !who.clone().all(sees) {
+            assert!(begun.elapsed() < LONG, "n{who:?} see {whom:?}\n{}", self.account(who.clone()));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// What each of these sees, and its log, for a test that fails.
+    fn account(&self, who: std::ops::Range<usize>) -> String {
+        let log = |n: usize| self.fronts[n].as_ref().map_or_else(Vec::new, Process::lines).join("\n");
+        let one = |n| format!("n{n} sees {:?}, status {:?}\n{}\n", self.picture(n), self.ask(n), log(n));
+        who.map(one).collect()
     }
 
     pub fn words_hold(&self) {
--- a/crates/cli/tests/neighbours.rs
+++ b/crates/cli/tests/neighbours.rs
@@ -57,9 +57,12 @@
     let before = fleet.front(3).lines().len();
     fleet.front(3).wake();
     fleet.all_see(0..5, 0..5);
+    // The log comes through a pipe that another thread reads.
+    let slept = "neighbours: slept for ";
+    assert!(fleet.front(3).line(slept, helper::fleet::LONG).is_some());
     let lines = fleet.front(3).lines();
     let told: Vec<_> = lines[before..].iter().filter(|l| l.contains("neighbours: ")).collect();
-    assert!(told.first().is_some_and(|l| l.contains("neighbours: slept for ")), "{told:?}");
+    assert!(told.first().is_some_and(|l| l.contains(slept)), "{told:?}");
     for n in 0..5 {
         let wrong: Vec<_> = fleet.front(n).lines().into_iter().filter(|l| l.contains("is missing")).collect();
         assert!(wrong.iter().all(|l| l.contains("n3 (")), "n{n}: only one that sleeps is missed: {wrong:?}");
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
-use std::sync::mpsc::{Receiver, Sender, SyncSender, TryRecvError, sync_channel};
+use std::sync::mpsc::{Receiver, Sender, SyncSender, TryRecvError, TrySendError, sync_channel};
 use std::time::Duration;
 
 use doorgrade::Tenths;
@@ -55,6 +55,10 @@
     },
 }
 
+/// Jobs of one connection that may wait at once: there is one ring a direction, and before an end that was dropped is
+/// seen, another may be asked for.
+const MOST_JOBS: usize = 4;
+
 /// The other end of a connection's coroutine; dropped, it closes the connection.
 pub struct Port {
     jobs: Option<SyncSender<Job>>,
@@ -76,16 +80,16 @@
 
     /// Half-close: the end of writing is sent, then what still comes is read and dropped until the other side ends, or
     /// this port is dropped. A plain close over unread bytes would reset the connection, and take with it answers that
-    /// the other side has not read yet. Only while nothing is being written. Where something has come, that is told
-    /// instead, and nothing is ended, unless nobody wants to hear it.
+    /// the other side has not read yet. Only while nothing is being written. Where
+    /// something has come, that is told instead, and nothing is ended, unless nobody wants to hear it.
     pub fn half_close(&self, discard: bool) {
         self.ask(Job::HalfClose { discard });
     }
 
-    /// There is one ring a direction, and one end; one whose coroutine has ended is reported closed.
+    /// One whose coroutine has ended is reported closed.
     fn ask(&self, job: Job) {
-        if let Some(jobs) = &self.jobs {
-            let _ = jobs.try_send(job);
+        if let Some(Err(TrySendError::Full(_))) = self.jobs.as_ref().map(|jobs| jobs.try_send(job)) {
+            tracing::error!("a connection has more to do than it can hold: it may hang");
         }
         self.waker.wakeup();
     }
@@ -124,7 +128,7 @@
 pub fn open(stream: TcpStream) -> (Port, Open) {
     // Answers are written whole; holding back a last small segment would only delay them.
     let _ = stream.set_nodelay(true);
-    let (jobs, asked) = sync_channel(4);
+    let (jobs, asked) = sync_channel(MOST_JOBS);
     (Port { jobs: Some(jobs), waker: stream.waker() }, Open { stream, asked })
 }
 
@@ -132,7 +136,17 @@
     /// Runs the connection until its port is dropped, or it was ended in order; in a coroutine.
     pub fn serve(self, conn: ConnId, events: &Sender<Event>) {
         let Open { stream, asked } = self;
-        pump(conn, &stream, &asked, events);
+        let mut pump = Pump {
+            conn,
+            stream: &stream,
+            asked: &asked,
+            events,
+            reading: None,
+            writing: None,
+            beginning: false,
+            half_closing: None,
+        };
+        pump.run();
         drop(stream);
         report(events, Event::Closed(conn));
     }
@@ -143,62 +157,106 @@
     let _ = events.send(event);
 }
 
-fn pump(conn: ConnId, stream: &TcpStream, asked: &Receiver<Job>, events: &Sender<Event>) {
-    let (mut reading, mut writing, mut beginning, mut half_closed) = (None, None, false, None);
-    loop {
-        loop {
-            match asked.try_recv() {
-                Ok(Job::Read(ring)) => reading = Some(ring),
-                Ok(Job::Write(ring)) => writing = Some(ring),
-                Ok(Job::Begin(ring)) => (writing, beginning) = (Some(ring), true),
-                Ok(Job::HalfClose { discard }) => half_closed = Some(discard),
-                Err(TryRecvError::Empty) => break,
-                Err(TryRecvError::Disconnected) => return,
-            }
-        }
-        if std::mem::take(&mut beginning) {
-            // With its ring for reading on the way to the reducer, something has come, too.
-            let end = reading.as_mut().map(|into| (read(stream, into), !into.is_empty()));
-            let good = end.as_ref().is_some_and(|(end, came)| {
-                !came && end.as_ref().is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-            });
-            let why = match &end {
-                Some((Err(e), false)) => Cut::of(e),
-                _ => Cut::SpokenOn,
-            };
-            if let Some(ring) = writing.take_if(|_| !good) {
-                report(events, Event::Wrote { conn, ring, failed: Some(why) });
+/// What a connection's coroutine has in hand.
+struct Pump<'a> {
+    conn: ConnId,
+    stream: &'a TcpStream,
+    asked: &'a Receiver<Job>,
+    events: &'a Sender<Event>,
+    reading: Option<Ring>,
+    writing: Option<Ring>,
+    /// What is to be written begins a request.
+    beginning: bool,
+    /// It is to be ended in order; whatever has come, if that is true.
+    half_closing: Option<bool>,
+}
+
+/// The port was dropped.
+struct Dropped;
+
+impl Pump<'_> {
+    /// Until its port is dropped, or it was ended in order.
+    fn run(&mut self) {
+        while self.take_jobs().is_ok() {
+            if std::mem::take(&mut self.beginning) {
+                self.begin();
             }
-            if let Some(ring) = reading.take_if(|_| !good) {
-                report(events, Event::Read { conn, ring, ended: Some(why), at: clock::unix() });
+            self.write();
+            self.read();
+            // With the ring on its way again something has come, and the reducer will hear of it.
+            if self.writing.is_none()
+                && self.half_closing.take().is_some_and(|discard| discard || self.reading.is_some())
+            {
+                return linger(self);
             }
+            self.stream.wait_io();
         }
-        if let Some(mut ring) = writing.take() {
-            match write(stream, &mut ring) {
-                Ok(()) => report(events, Event::Wrote { conn, ring, failed: None }),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => writing = Some(ring),
-                Err(e) => report(events, Event::Wrote { conn, ring, failed: Some(Cut::of(&e)) }),
+    }
+
+    /// In their order: several may wait, and what one asks for rests on those before it.
+    fn take_jobs(&mut self) -> Result<(), Dropped> {
+        loop {
+            match self.asked.try_recv() {
+                Ok(Job::Read(ring)) => self.reading = Some(ring),
+                Ok(Job::Write(ring)) => self.writing = Some(ring),
+                Ok(Job::Begin(ring)) => (self.writing, self.beginning) = (Some(ring), true),
+                // Asked for while the ring was on its way to the reducer with what had come: the connection was not at
+                // rest, whatever has been asked for since. The reducer ends it again if it still wants to.
+                Ok(Job::HalfClose { discard }) => {
+                    self.half_closing = Some(discard).filter(|&discard| discard || self.reading.is_some());
+                }
+                Err(TryRecvError::Empty) => return Ok(()),
+                Err(TryRecvError::Disconnected) => return Err(Dropped),
             }
         }
-        if let Some(mut ring) = reading.take() {
-            let before = ring.len();
-            let end = read(stream, &mut ring);
-            let ended = end.err().filter(|e| e.kind() != ErrorKind::WouldBlock).as_ref().map(Cut::of);
-            if ring.len() > before || ended.is_some() {
-                report(events, Event::Read { conn, ring, ended, at: clock::unix() });
-            } else {
-                reading = Some(ring);
-            }
+    }
+
+    /// Looks whether the connection is still good for a request: nothing has come, and it has not ended.
+    fn begin(&mut self) {
+        // With its ring for reading on the way to the reducer, something has come, too.
+        let end = self.reading.as_mut().map(|into| (read(self.stream, into), !into.is_empty()));
+        let why = match &end {
+            Some((Err(e), false)) if e.kind() == ErrorKind::WouldBlock => return,
+            Some((Err(e), false)) => Cut::of(e),
+            _ => Cut::SpokenOn,
+        };
+        if let Some(ring) = self.writing.take() {
+            self.report(|conn| Event::Wrote { conn, ring, failed: Some(why) });
         }
-        // With its ring on the way to the reducer, something has come: whoever asked will hear of it, and ask again.
-        if half_closed.take().is_some_and(|discard: bool| discard || reading.is_some()) && writing.is_none() {
-            return linger(stream, asked);
+        if let Some(ring) = self.reading.take() {
+            self.report(|conn| Event::Read { conn, ring, ended: Some(why), at: clock::unix() });
+        }
+    }
+
+    fn write(&mut self) {
+        let Some(mut ring) = self.writing.take() else { return };
+        match write(self.stream, &mut ring) {
+            Ok(()) => self.report(|conn| Event::Wrote { conn, ring, failed: None }),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => self.writing = Some(ring),
+            Err(e) => self.report(|conn| Event::Wrote { conn, ring, failed: Some(Cut::of(&e)) }),
         }
-        stream.wait_io();
+    }
+
+    fn read(&mut self) {
+        let Some(mut ring) = self.reading.take() else { return };
+        let before = ring.len();
+        let end = read(self.stream, &mut ring).err();
+        let ended = end.filter(|e| e.kind() != ErrorKind::WouldBlock).as_ref().map(Cut::of);
+        if ring.len() > before || ended.is_some() {
+            self.report(|conn| Event::Read { conn, ring, ended, at: clock::unix() });
+        } else {
+            self.reading = Some(ring);
+        }
+    }
+
+    fn report(&self, event: impl FnOnce(ConnId) -> Event) {
+        report(self.events, event(self.conn));
     }
 }
 
-fn linger(stream: &TcpStream, asked: &Receiver<Job>) {
+/// Sends the end of writing, then reads and drops what still comes until the other side ends, too, or its port is dropped.
+fn linger(pump: &Pump<'_>) {
+    let Pump { stream, asked, .. } = pump;
     if stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
