No doubt about a member lasts for ever

Cause: the detection (foca) ends a doubt by a timer at whoever doubted first, and marks its timers with a token that changes with each later life (change_identity, reset): taken for dead in between, it never ends the doubt, and nobody else has a timer. Receivers of the doubt keep it. Change: a doubt that has stood for twice its time is ended by whoever sees it; the doubted one hears of it and comes back if it lives (doubts.rs).

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -17,6 +17,7 @@
 //! What it can't know: whether one that does not answer is dead, stalled or cut off. `Down` is a belief.
 #![forbid(unsafe_code)]
 
+mod doubts;
 mod id;
 mod members;
 pub mod seal;
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -14,6 +14,7 @@
 use rand::rngs::SmallRng;
 
 use crate::Id;
+use crate::doubts::Doubts;
 use crate::seek::Seek;
 use crate::words::Words;
 
@@ -23,6 +24,8 @@
 /// One that did not answer is doubted for so many probes before it is held for down, more in a large fleet: it, and
 /// word of it, must have time to come (SWIM's own reckoning, with the factor 4 that is usual on one site).
 const DOUBT: f64 = 4.0;
+/// After so many times that, nobody can be about to end a doubt.
+const DOUBT_LOST: Tenths = 2;
 /// Word of a change is passed on this often.
 const GOSSIP: Tenths = 2_500;
 /// It is called at the least once in a gossip's pause. Whoever was not called for two and a half probes was stopped: less
@@ -183,23 +186,29 @@
     rng: Rng,
     settings: Settings,
     called: Tenths,
+    doubts: Doubts,
     /// Datagrams heard, in a circle.
     heard: u32,
     /// Datagrams that could not be used.
     pub refused: u64,
 }
 
+/// How long one that did not answer is doubted before it is held for down.
+fn doubt_time(settings: &Settings) -> Tenths {
+    let size = f64::from(settings.about.max(2));
+    (DOUBT * size.log10().max(1.0) * settings.probe.max(1_000) as f64) as Tenths
+}
+
 fn config(settings: &Settings) -> Config {
     let tenths = |t: Tenths| Duration::from_micros(t * 100);
     let size = f64::from(settings.about.max(2));
     let probe = settings.probe.max(1_000);
-    let doubted = DOUBT * size.log10().max(1.0) * probe as f64;
     // Four times the decimal logarithm, as is usual: word then reaches all but one in some thousand.
     let passed_on = (4.0 * (size + 1.0).log10()).ceil().clamp(1.0, 100.0) as u8;
     Config {
         probe_period: tenths(probe),
         probe_rtt: tenths((ROUND_TRIP * probe as f64) as Tenths),
-        suspect_to_down_after: tenths(doubted as Tenths),
+        suspect_to_down_after: tenths(doubt_time(settings)),
         max_transmissions: NonZeroU8::new(passed_on).unwrap_or(NonZeroU8::MIN),
         max_packet_size: NonZeroUsize::new(MOST_SAID).unwrap_or(NonZeroUsize::MIN),
         remove_down_after: Some(REMEMBERED),
@@ -287,7 +296,8 @@
             seek,
         };
         let swim = Members::swim(own, &settings, &mut rng);
-        Members { swim, rest, rng, settings, called: now, heard: 0, refused: 0 }
+        let doubts = Doubts::default();
+        Members { swim, rest, rng, settings, called: now, doubts, heard: 0, refused: 0 }
     }
 
     fn swim(own: Id, settings: &Settings, rng: &mut Rng) -> Swim {
@@ -373,12 +383,24 @@
             // An error is a probe whose timers came out of order: it is begun anew by itself.
             let _ = self.swim.handle_timer(timer, &mut self.rest);
         }
+        self.end_doubts();
         if let Some(at) = self.rest.seek.whom(self.rest.now, &self.rest.here, &mut self.rng) {
             let _ = self.swim.announce(Id::unknown(at), &mut self.rest);
         }
         self.settle();
     }
 
+    /// The detection ends a doubt by a timer of whoever doubted first, and loses it when that one begins a later life. A
+    /// doubt that has lasted for twice that time is nobody's: the doubted one is held for down, hears of it, and comes
+    /// back if it lives.
+    fn end_doubts(&mut self) {
+        let most = DOUBT_LOST * doubt_time(&self.settings);
+        let overdue = self.doubts.overdue(self.rest.now, most, self.swim.iter_membership_state());
+        if !overdue.is_empty() {
+            let _ = self.swim.apply_many(overdue.into_iter(), true, &mut self.rest);
+        }
+    }
+
     /// Before anything else is done at a call: has it slept?
     fn wake(&mut self, now: Tenths) {
         let now = now.max(self.rest.now);
