A client's connection is closed only after its coroutine has ended it

Cause: two orders rested on a state that might be over: the eviction of the client idle longest, and the timer of 0.2 s after an end that was asked for. Change: a coroutine that has sent the end of writing says so (Event::HalfClosed); the reducer keeps how far each end has come (places.rs: Ending), closes for others or after 0.2 s only what was ended, and newcomers wait, unread, until there is a place. A newcomer is not closed unread any more where all places are owed answers. Places stand in a module of their own.

--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -26,6 +26,8 @@
     Read { conn: ConnId, ring: Ring, ended: Option<Cut>, at: Tenths },
     /// All of the ring was written, or no more can be.
     Wrote { conn: ConnId, ring: Ring, failed: Option<Cut> },
+    /// The end of writing was sent to a client; nothing of what still comes is told.
+    HalfClosed(ConnId),
     /// The descriptor is given back.
     Closed(ConnId),
     /// Clients' connections can't be accepted: no descriptor, or no memory, is left.
@@ -80,7 +82,7 @@
 
     /// Half-close: the end of writing is sent, then what still comes is read and dropped until the other side ends, or
     /// this port is dropped. A plain close over unread bytes would reset the connection, and take with it answers that
-    /// the other side has not read yet. Only while nothing is being written. Where
+    /// the other side has not read yet. Only while nothing is being written. Told by [`Event::HalfClosed`]; where
     /// something has come, that is told instead, and nothing is ended, unless nobody wants to hear it.
     pub fn half_close(&self, discard: bool) {
         self.ask(Job::HalfClose { discard });
@@ -260,6 +262,7 @@
     if stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
+    pump.report(Event::HalfClosed);
     let mut dropped = Ring::new(2_048);
     loop {
         // Its port is dropped when its time is up; jobs are no longer done.
--- a/crates/front/src/reasons.rs
+++ b/crates/front/src/reasons.rs
@@ -53,8 +53,6 @@
     Evicted,
     /// The front ends.
     FrontEnds,
-    /// It came while every place was in use.
-    NoPlace,
     /// It was ended in order, and the client has ended it, too, or took too long.
     Closed,
 }
@@ -72,7 +70,6 @@
             ClientEnd::LastRequest => "its last request was answered",
             ClientEnd::Evicted => "others need its place",
             ClientEnd::FrontEnds => "the front ends",
-            ClientEnd::NoPlace => "no place for it",
             ClientEnd::Closed => "closed after its end",
         })
     }
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -1,6 +1,7 @@
 //! Every state change of the front. Takes one input, changes state, and asks for effects; no I/O inside.
 
 mod clients;
+mod places;
 mod pushes;
 mod tiers;
 mod told;
@@ -26,6 +27,7 @@
 use crate::reasons::{CacheEnd, ClientEnd, Counts};
 use clients::Client;
 pub use doorgrade_control_client::Learned;
+use places::{Ending, Want};
 use tiers::Tiers;
 pub use types::{Effect, Input, Made, Most, Served};
 use types::{LINGER, Listener, SILENT, SWEEP, TOLD, Taken, Timer, UNFINISHED, UNREAD, Work};
@@ -59,6 +61,8 @@
                 timers: Timers::default(),
                 effects: Vec::new(),
                 clients: FxHashMap::default(),
+                arrivals: VecDeque::new(),
+                want: Want::default(),
                 lines: FxHashMap::default(),
                 pools: Pools::default(),
                 places: FxHashMap::default(),
@@ -157,6 +161,7 @@
                 self.client_wrote(conn, ring, failed);
             }
             Input::Wrote { conn, ring, failed } => self.work.line_wrote(conn, ring, failed),
+            Input::HalfClosed(conn) => self.work.half_closed(conn),
             Input::Closed(conn) => self.closed(conn),
             Input::NoMeans => self.work.make_room(),
             Input::ListenerClosed => self.work.listener = Listener::Closed,
@@ -188,6 +193,9 @@
             self.timer(timer);
             self.settle();
         }
+        if !self.work.arrivals.is_empty() {
+            self.work.admit();
+        }
         self.advance();
     }
 
@@ -198,8 +206,12 @@
             Timer::FeedConnect => self.work.connect_feed(),
             Timer::Sweep => self.sweep(),
             Timer::Lingered(conn) => {
-                let due = |c: &Client| c.half_closed.is_some_and(|since| since + LINGER <= self.work.now);
-                if self.work.clients.get(&conn).is_some_and(due) {
+                let since = |c: &Client| match c.ending {
+                    Ending::Sent(since) => Some(since),
+                    _ => None,
+                };
+                let since = self.work.clients.get(&conn).and_then(since);
+                if since.is_some_and(|since| since + LINGER <= self.work.now) {
                     self.drop_client(conn, ClientEnd::Closed);
                 }
             }
@@ -243,6 +255,7 @@
     }
 
     fn closed(&mut self, conn: ConnId) {
+        self.work.arrivals.retain(|&waits| waits != conn);
         // One that was ended in order is closed when the other side has ended it, too.
         if self.work.clients.contains_key(&conn) {
             self.drop_client(conn, ClientEnd::Closed);
@@ -272,7 +285,8 @@
             rest.into_iter().for_each(|conn| work.half_close(conn, ClientEnd::FrontEnds));
         }
         let open = work.accesses.values().any(|t| !t.done);
-        let connected = !work.clients.is_empty() || work.listener != Listener::Closed;
+        let clients = work.clients.len() + work.arrivals.len();
+        let connected = clients > 0 || work.listener != Listener::Closed;
         work.phase.advance(work.now, open, connected);
         if work.phase.gone() {
             work.effects.push(Effect::Exit);
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -3,7 +3,8 @@
 use doorgrade::{Access, AccessId, Tenths};
 use rustc_hash::FxHashMap;
 
-use super::{Effect, LINGER, Reducer, Taken, Timer, Work, trace};
+use super::places::Ending;
+use super::{Effect, Reducer, Taken, Work};
 use crate::answer::{Outbox, Reply};
 use crate::bounds;
 use crate::conn::ConnId;
@@ -25,15 +26,27 @@
     pub(super) accesses: FxHashMap<u16, AccessId>,
     /// Its connection ends with what is open on it.
     pub(super) last: bool,
-    /// Since when its connection has been ended from here.
-    pub(super) half_closed: Option<Tenths>,
+    /// How far its connection has been ended from here.
+    pub(super) ending: Ending,
 }
 
 const COMPLAINTS: Tenths = 10_000;
-/// So many of the connections that clients may have are kept for newcomers, so that old ones can be ended in order.
-const SPARE: usize = 2;
 
 impl Client {
+    pub(super) fn new(now: Tenths) -> Client {
+        Client {
+            intake: Intake::default(),
+            out: Some(Ring::new(bounds::CLIENT_OUT)),
+            heard: now,
+            began: Some(now),
+            wrote: now,
+            outbox: Outbox::default(),
+            accesses: FxHashMap::default(),
+            last: false,
+            ending: Ending::No,
+        }
+    }
+
     /// Nothing is open and nothing waits to be written: nobody loses by its end.
     pub(super) fn owed_nothing(&self) -> bool {
         self.accesses.is_empty() && self.outbox.is_empty() && self.out.is_some()
@@ -53,8 +66,10 @@
             return self.drop_client(conn, ClientEnd::Left);
         }
         if let Some(client) = self.work.clients.get_mut(&conn) {
-            // Something had come before its connection was ended.
-            client.half_closed = client.half_closed.filter(|_| client.intake.deaf);
+            // Something had come before its connection was ended: it was not.
+            if !client.intake.deaf {
+                client.ending = Ending::No;
+            }
         }
         loop {
             let Some(client) = self.work.clients.get_mut(&conn) else { return };
@@ -220,16 +235,6 @@
 }
 
 impl Work {
-    /// Ends a client's connection in order: it is closed when the other side has ended it, too, or takes too long.
-    pub(super) fn half_close(&mut self, conn: ConnId, why: ClientEnd) {
-        if let Some(client) = self.clients.get_mut(&conn).filter(|c| c.half_closed.is_none()) {
-            client.half_closed = Some(self.now);
-            tracing::debug!(connection = trace::number(conn), "a client's connection is to end: {why}");
-            self.effects.push(Effect::HalfClose(conn, client.intake.deaf));
-            self.timers.set(self.now + LINGER, Timer::Lingered(conn));
-        }
-    }
-
     /// The connection was to end with what is open on it, and nothing is.
     fn half_close_last(&mut self, conn: ConnId) {
         let over = |c: &Client| c.last && c.intake.open() == 0 && c.outbox.is_empty() && c.out.is_some();
@@ -238,69 +243,6 @@
         }
     }
 
-    /// The one that has said nothing for the longest, if nothing is owed to it.
-    fn idle_longest(&self, half_closed: bool) -> Option<ConnId> {
-        let idle = |c: &Client| c.owed_nothing() && c.half_closed.is_some() == half_closed;
-        let idle = self.clients.iter().filter(|(_, c)| idle(c));
-        idle.min_by_key(|&(&conn, c)| (c.idle_since(), conn)).map(|(&conn, _)| conn)
-    }
-
-    /// A client's connection that nobody uses is closed at once; one whose end is under way first.
-    fn close_client(&mut self) -> Option<()> {
-        let conn = self.idle_longest(true).or_else(|| self.idle_longest(false))?;
-        let gone = self.clients.remove(&conn);
-        self.trace_client_end(conn, ClientEnd::Evicted, &[]);
-        self.bodies = self.bodies.saturating_sub(gone.map_or(0, |c| c.intake.held()));
-        self.close(conn);
-        Some(())
-    }
-
-    /// The machine has no descriptor left: who holds one without using it gives it back.
-    pub(super) fn make_room(&mut self) {
-        self.complain("this machine has no descriptor or memory left for connections");
-        if self.close_client().is_none() {
-            let _ = self.close_idle();
-        }
-    }
-
-    pub(super) fn accepted(&mut self, conn: ConnId) {
-        // The ones idle longest make room: clients that hold connections they do not use must not keep others out.
-        // While there is some, in order, since the next request of one may be on its way.
-        if self.clients.len() + SPARE >= self.bounds.clients
-            && let Some(oldest) = self.idle_longest(false)
-        {
-            self.half_close(oldest, ClientEnd::Evicted);
-        }
-        while self.clients.len() >= self.bounds.clients {
-            if self.close_client().is_none() {
-                self.complain("no descriptor left for a client");
-                self.trace_client_end(conn, ClientEnd::NoPlace, &[]);
-                return self.close(conn);
-            }
-        }
-        let client = Client {
-            intake: Intake::default(),
-            out: Some(Ring::new(bounds::CLIENT_OUT)),
-            heard: self.now,
-            began: Some(self.now),
-            wrote: self.now,
-            outbox: Outbox::default(),
-            accesses: FxHashMap::default(),
-            last: false,
-            half_closed: None,
-        };
-        self.clients.insert(conn, client);
-        // What was lent is taken back, as far as it is not in use.
-        while self.lines_used() > self.bounds.lines_with(self.clients.len()) && self.close_idle().is_some() {}
-        self.most.clients = self.most.clients.max(self.clients.len());
-        tracing::debug!(
-            connection = trace::number(conn),
-            clients = self.clients.len(),
-            "client's connection"
-        );
-        self.effects.push(Effect::Read(conn, Ring::new(bounds::CLIENT_IN)));
-    }
-
     /// What clients do wrong, a line a second at the most: nobody may flood the log from outside.
     pub(super) fn complain(&mut self, what: &str) {
         self.complaints += 1;
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -10,6 +10,7 @@
 use rustc_hash::FxHashMap;
 
 use super::clients::Client;
+use super::places::Want;
 use super::pushes::Sent;
 use super::tiers::Tiers;
 use crate::bounds::Bounds;
@@ -49,6 +50,8 @@
         ring: Ring,
         failed: Option<Cut>,
     },
+    /// The end of writing was sent to a client.
+    HalfClosed(ConnId),
     Closed(ConnId),
     /// Clients' connections can't be accepted for want of descriptors or memory.
     NoMeans,
@@ -179,6 +182,9 @@
     pub(super) timers: Timers<Timer>,
     pub(super) effects: Vec<Effect>,
     pub(super) clients: FxHashMap<ConnId, Client>,
+    /// Clients' connections that wait for a place.
+    pub(super) arrivals: VecDeque<ConnId>,
+    pub(super) want: Want,
     pub(super) lines: FxHashMap<ConnId, Line>,
     pub(super) pools: Pools,
     pub(super) places: FxHashMap<u32, Place>,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -284,6 +284,7 @@
             }
             Event::Read { conn, ring, ended, at } => Input::Read { conn, ring, ended, at },
             Event::Wrote { conn, ring, failed } => Input::Wrote { conn, ring, failed },
+            Event::HalfClosed(conn) => Input::HalfClosed(conn),
             Event::Closed(conn) => {
                 self.ports.remove(&conn);
                 Input::Closed(conn)
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -228,6 +228,7 @@
                     discard || self.taken.values().find(open).is_none(),
                     "rule 1: ended before its answer"
                 );
+                self.input(Input::HalfClosed(conn));
                 if !self.resting.contains(&conn) {
                     self.conns.remove(&conn);
                     self.input(Input::Closed(conn));
