A failing test: a start ends where its address for datagrams is still held

Seen: tests/neighbours.rs failed once more; the front's log: "key 'listen': 127.0.0.1:37008: Address already in use". Two causes. - The tests chose a port by taking it for a moment; another test's socket took it in between. Ports come from below the system's own range now (ports.rs). - A front in service meets the same at a restart: the one before has shut its listener and holds the address for datagrams until it ends. The listener's address is waited for, this one was not.

--- a/crates/cli/tests/helper/fleet.rs
+++ b/crates/cli/tests/helper/fleet.rs
@@ -1,6 +1,6 @@
 //! Real fronts that speak with each other over links between them.
 
-use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::Arc;
@@ -10,6 +10,7 @@
 use doorgrade_control_client::seal_keys::read_keys;
 use doorgrade_members::seal::Keys;
 use doorgrade_standins::links::Links;
+use doorgrade_standins::ports::free_address;
 use doorgrade_standins::process::Process;
 
 pub const WORDS: usize = 40;
@@ -52,10 +53,7 @@
             .unwrap();
         std::fs::write(folder.join("config.json"), config).unwrap();
         let links = Arc::new(Links::new(1));
-        // A free port of each is found by taking it for a moment.
-        let taken: Vec<_> = (0..size).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
-        let own: Vec<_> = taken.iter().map(|s| s.local_addr().unwrap()).collect();
-        drop(taken);
+        let own: Vec<_> = (0..size).map(|_| free_address()).collect();
         let reached =
             names(0..size).into_iter().zip(&own).map(|(name, &at)| links.mailbox(&name, at).unwrap());
         let at: Vec<SocketAddrV4> = reached.map(|at| at.to_string().parse().unwrap()).collect();
--- a/crates/cli/tests/neighbours.rs
+++ b/crates/cli/tests/neighbours.rs
@@ -45,6 +45,22 @@
     fleet.words_hold();
 }
 
+/// The instance before it is on its way out: its listener is shut, and it holds its address for datagrams for some seconds
+/// more. The new one had ended then, with "key 'listen': ... Address already in use".
+#[test]
+fn one_whose_address_is_still_held_by_the_one_before_serves_and_joins_later() {
+    let mut fleet = Fleet::new("neighbours-held", 3);
+    fleet.all_see(0..3, 0..3);
+    fleet.front(2).kill();
+    let before = std::net::UdpSocket::bind(fleet.own[2]).unwrap();
+    fleet.start(2);
+    let waits = "is in use";
+    assert!(fleet.front(2).line(waits, helper::fleet::LONG).is_some(), "{:?}", fleet.front(2).lines());
+    assert!(fleet.front(2).alive(), "{:?}", fleet.front(2).lines());
+    drop(before);
+    fleet.all_see(0..3, 0..3);
+}
+
 #[test]
 fn one_that_is_stopped_and_woken_says_so_before_it_says_anything_of_others() {
     let mut fleet = Fleet::new("neighbours-stall", 5);
--- a/crates/lab/src/returns.rs
+++ b/crates/lab/src/returns.rs
@@ -14,7 +14,6 @@
 //! Renewals, waits and the archive's load are counted at the stand-ins.
 
 use std::collections::HashMap;
-use std::net::UdpSocket;
 use std::path::{Path, PathBuf};
 use std::sync::RwLock;
 use std::sync::atomic::Ordering::SeqCst;
@@ -24,6 +23,7 @@
 use doorgrade_standins::feed::record;
 use doorgrade_standins::links::{ANY, Links, Way};
 use doorgrade_standins::member::{Answered, Cold};
+use doorgrade_standins::ports::free_address;
 use doorgrade_standins::{Directory, Feed, Member, Role, Spec, unix_ms};
 use fastrand::Rng;
 use serde_json::json;
@@ -213,10 +213,7 @@
     fn new(seed: u64, fronts: usize) -> std::io::Result<Posts> {
         let links = Links::new(seed);
         links.set(ANY, ANY, LINK);
-        // Each a free port, found by taking it for a moment.
-        let taken = (0..fronts).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
-        let own = taken.iter().map(UdpSocket::local_addr).collect::<Result<Vec<_>, _>>()?;
-        drop(taken);
+        let own: Vec<_> = (0..fronts).map(|_| free_address()).collect();
         let at = own.iter().enumerate().map(|(n, &own)| links.mailbox(&format!("n{n}"), own));
         Ok(Posts { at: at.collect::<Result<Vec<_>, _>>()?, links, own })
     }
--- a/crates/lab/src/scale/hollow_to_real.rs
+++ b/crates/lab/src/scale/hollow_to_real.rs
@@ -5,12 +5,13 @@
 //! control side's work: `versions` and `neighbours` in each real process, and this process's threads of hollow ones. The
 //! feed is read by the main thread of a front, with all else that it does, and is left out on both sides.
 
-use std::net::{SocketAddrV4, UdpSocket};
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use doorgrade_standins::Feed;
+use doorgrade_standins::ports::free_address;
 use fastrand::Rng;
 
 use super::control_rig::{ControlRig, content};
@@ -92,16 +93,12 @@
 
 /// What a fleet of both kinds says of its neighbours. Datagrams pass the links, which know each by its name.
 fn neighbours(rig: &ControlRig, all: usize) -> Result<Vec<(SocketAddrV4, SocketAddrV4)>, String> {
-    // A free port of each is found by taking it for a moment.
-    let taken: Vec<_> =
-        (0..all).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>().map_err(text)?;
-    let own: Vec<_> = taken.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>().map_err(text)?;
-    drop(taken);
+    let own = (0..all).map(|_| free_address());
     let reach = |(n, own): (usize, std::net::SocketAddr)| {
         let at = rig.links.mailbox(&member(n), own).map_err(text)?;
         Ok((own.to_string().parse().map_err(text)?, at.to_string().parse().map_err(text)?))
     };
-    own.into_iter().enumerate().map(reach).collect()
+    own.enumerate().map(reach).collect()
 }
 
 fn text(e: impl std::fmt::Display) -> String {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod held;
 pub mod links;
 pub mod member;
+pub mod ports;
 pub mod process;
 pub mod shim;
 pub mod timeline;
