A start waits for its address for datagrams, as it does for its listener's

Cause: mod.rs of neighbours bound the socket once and ended the start on any error; at a restart the instance before holds it for up to 3.7 s after SIGTERM. Change: in use, it is tried again each tenth of a second beside all else, and the log says so; other errors end the start as before.

--- a/crates/control-client/src/neighbours/exchange.rs
+++ b/crates/control-client/src/neighbours/exchange.rs
@@ -18,6 +18,8 @@
 use crate::seal_keys::RELOAD_EACH;
 use crate::worker::Stopped;
 
+/// How often an address that is in use is tried again.
+const BIND_EACH: Duration = Duration::from_millis(100);
 /// Rows of a status in one datagram: with the longest names they fill it.
 const ROWS: usize = 7;
 /// Pages of status in a second at the most: people and their scripts.
@@ -25,7 +27,9 @@
 
 /// Bound, and not running yet.
 pub struct Exchange {
-    pub(super) bound: Option<(Membership, std::net::UdpSocket)>,
+    pub(super) membership: Option<Membership>,
+    /// None where its address is still in use.
+    pub(super) socket: Option<std::net::UdpSocket>,
     pub(super) remember: Option<Remember>,
     pub(super) to_remember: queue::Receiver<Vec<Learned>>,
     pub(super) recalled: Recalled,
@@ -38,20 +42,19 @@
 impl Exchange {
     /// Until it is stopped; the snapshot of what is remembered is written last.
     pub async fn run(self, stopped: Stopped) {
-        let Exchange { bound, remember, to_remember, recalled, incarnation, clock, now } = self;
-        let peers = bound.map(|(membership, socket)| Peers::new(membership, socket, incarnation, now));
-        let peers = match peers.transpose() {
-            Ok(peers) => peers,
-            Err(e) => return tracing::error!("neighbours: {e}"),
-        };
+        let Exchange { membership, socket, remember, to_remember, recalled, incarnation, clock, now } = self;
         let pages = Words::new(MOST_PAGES, now);
-        let mut running = Running { peers, remember, recalled, incarnation, pages, clock };
+        let (peers, unbound) = (None, membership);
+        let mut running = Running { peers, unbound, remember, recalled, incarnation, pages, clock };
+        running.begin(socket);
         running.run(to_remember, stopped).await;
     }
 }
 
 struct Running {
     peers: Option<Peers>,
+    /// What it needs to speak to others, while its address is in use.
+    unbound: Option<Membership>,
     remember: Option<Remember>,
     recalled: Recalled,
     incarnation: u64,
@@ -62,10 +65,33 @@
 }
 
 impl Running {
+    /// Speaks to others from now on, if there is a socket.
+    fn begin(&mut self, socket: Option<std::net::UdpSocket>) {
+        let Some(socket) = socket else { return };
+        let Some(membership) = self.unbound.take() else { return };
+        match Peers::new(membership, socket, self.incarnation, self.clock.now()) {
+            Ok(peers) => self.peers = Some(peers),
+            Err(e) => tracing::error!("neighbours: {e}"),
+        }
+    }
+
+    /// Tries its address again.
+    fn bind(&mut self) {
+        match self.unbound.as_ref().map(Membership::bind) {
+            Some(Ok(socket)) => self.begin(socket),
+            Some(Err(e)) => {
+                tracing::error!("neighbours: {e}");
+                self.unbound = None;
+            }
+            None => {}
+        }
+    }
+
     async fn run(&mut self, mut learned: queue::Receiver<Vec<Learned>>, mut stopped: Stopped) {
         // One byte more than may come: what is longer is none of ours.
         let mut bytes = [0; MOST_DATAGRAM + 1];
         let mut reload = tokio::time::interval(RELOAD_EACH);
+        let mut again = tokio::time::interval(BIND_EACH);
         loop {
             let now = self.clock.now();
             let dues = [
@@ -84,6 +110,7 @@
                 },
                 Some(seen) = learned.recv() => self.remember.iter_mut().for_each(|r| r.saw(&seen)),
                 () = sleep(wait) => {}
+                _ = again.tick(), if self.unbound.is_some() => self.bind(),
                 _ = reload.tick() => self.peers.iter_mut().for_each(Peers::reload_keys),
                 _ = &mut stopped => {
                     // What it knows now is worth most to the start that follows.
--- a/crates/control-client/src/neighbours/mod.rs
+++ b/crates/control-client/src/neighbours/mod.rs
@@ -10,6 +10,8 @@
 mod socket;
 mod status;
 
+use std::io::ErrorKind;
+use std::net::UdpSocket;
 use std::path::{Path, PathBuf};
 
 use doorgrade::{Offering, Tenths};
@@ -83,6 +85,20 @@
         }
         Ok(Membership { own: settings, name: own.name.into(), seed: own.seed, seal_keys, secrets })
     }
+
+    /// Binds the socket; none where the address is in use, as by an instance before this one that is on its way out.
+    fn bind(&self) -> Result<Option<UdpSocket>, SetupError> {
+        let listen = self.own.listen;
+        let bound = UdpSocket::bind(listen).and_then(|socket| socket.set_nonblocking(true).map(|()| socket));
+        match bound {
+            Ok(socket) => {
+                tracing::info!("neighbours: reached at {}", self.own.address);
+                Ok(Some(socket))
+            }
+            Err(e) if e.kind() == ErrorKind::AddrInUse => Ok(None),
+            Err(e) => Err(fault(format_args!("key 'listen': {listen}: {e}"))),
+        }
+    }
 }
 
 impl Neighbourhood {
@@ -118,22 +134,21 @@
         let now = clock.now();
         let before = self.remember.as_ref().map_or(0, |r| r.last_incarnation.saturating_add(1));
         let incarnation = (now / 10).max(before);
-        let bind = |membership: Membership| {
-            let listen = membership.own.listen;
-            let socket = std::net::UdpSocket::bind(listen)
-                .and_then(|socket| socket.set_nonblocking(true).map(|()| socket))
-                .map_err(|e| fault(format_args!("key 'listen': {listen}: {e}")))?;
-            tracing::info!("neighbours: reached at {}", membership.own.address);
-            Ok::<_, SetupError>((membership, socket))
-        };
-        let bound = self.membership.map(bind).transpose()?;
+        let socket = self.membership.as_ref().map(Membership::bind).transpose()?.flatten();
+        let waits = self.membership.is_some() && socket.is_none();
         let (learned, to_remember) = queue::channel(MOST_BATCHES);
         let learned = self.remember.is_some().then_some(learned);
-        if bound.is_some() {
+        if self.membership.is_some() {
             self.remember.iter_mut().for_each(|r| r.ask(now));
         }
-        let remember = self.remember;
-        Ok((Exchange { bound, remember, to_remember, recalled, incarnation, clock, now }, learned))
+        if waits {
+            tracing::warn!("neighbours: the address to listen on is in use: waits for it");
+        }
+        let Neighbourhood { membership, remember } = self;
+        Ok((
+            Exchange { membership, socket, remember, to_remember, recalled, incarnation, clock, now },
+            learned,
+        ))
     }
 
     /// Binds the socket and starts the thread.
