A request begins only for a client that waits, and tells the time that is left then

Cause: an attempt's bytes, its Call-Ms among them, were made with the decision and kept until a connection was up; and whether its client was still there was looked at by the reducer alone, which hears of an end only after the coroutines' thread has read it. Change: an attempt keeps what it asks (sent.rs), its bytes are made when it is written. Just before its first byte the coroutine asks the system whether the client's connection has ended, and puts the beginning off, three times at the most, while something of that client is unread or unheard. Ends of connections are carried out before other effects of the same input. What decisions ask for stands in outlet.rs.

--- a/crates/cli/tests/attempts.rs
+++ b/crates/cli/tests/attempts.rs
@@ -2,6 +2,7 @@
 
 mod helper;
 
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 use doorgrade_standins::client::Asked;
@@ -71,6 +72,20 @@
 /// falls due. The thread then wrote that copy first and read the client's end after it.
 #[test]
 fn a_second_attempt_does_not_begin_for_a_client_whose_end_waits_to_be_read() {
+    a_second_attempt_does_not_begin(drop);
+}
+
+/// The same, where the client gives its request up and keeps its connection.
+#[test]
+fn a_second_attempt_does_not_begin_for_a_request_whose_abort_waits_to_be_read() {
+    a_second_attempt_does_not_begin(|client| {
+        const ABORT_REQUEST: [u8; 8] = [1, 2, 0, 1, 0, 0, 0, 0];
+        client.stream().write_all(&ABORT_REQUEST).unwrap();
+        std::mem::forget(client);
+    });
+}
+
+fn a_second_attempt_does_not_begin(leave: impl FnOnce(Client)) {
     let mut caches = [Cache::start(), Cache::start()];
     let feed = Feed::start("127.0.0.1:0").unwrap();
     let ([one, two], origin) = (caches.each_ref().map(|c| c.held.at), Held::start().unwrap());
@@ -95,7 +110,7 @@
     let _stuck = caches[first].lines.remove(stuck);
     assert_eq!(serve(&front, &keys[same], &mut caches), first);
     shim.set(Fault::HoldIo, 1).unwrap();
-    drop(client);
+    leave(client);
     let left = Instant::now();
     shim.until(Seen::IoHeld, 1, SOON).unwrap();
     until("a second copy is due", || {
@@ -104,7 +119,8 @@
     std::thread::sleep(AFTER_LEAVING.saturating_sub(left.elapsed()));
     shim.set(Fault::HoldIo, 0).unwrap();
     until("its end is heard", || {
-        front.log().iter().any(|line| line.contains(&request) && line.contains("given up by its client"))
+        let log = front.log();
+        log.iter().any(|line| line.contains(&request) && line.contains("given up by its client"))
     });
     std::thread::sleep(Duration::from_millis(50));
     assert_eq!(
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -2,7 +2,9 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, SyncSender, TryRecvError, TrySendError, sync_channel};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use doorgrade::Tenths;
@@ -14,6 +16,8 @@
 use crate::reasons::Cut;
 use crate::ring::Ring;
 
+pub use crate::awaiting::{Awaiting, Awaits};
+
 pub type ConnId = u64;
 
 /// What comes from outside, in the order in which it came.
@@ -49,8 +53,8 @@
 enum Job {
     Read(Ring),
     Write(Ring),
-    /// To be written only while nothing has come and the other side has not ended it.
-    Begin(Ring),
+    /// To be written only while nothing has come, the other side has not ended it, and somebody waits for the answer.
+    Begin(Ring, Awaiting),
     /// To be ended in order, unless something has come that was not told yet; or whatever has come.
     HalfClose {
         discard: bool,
@@ -65,6 +69,14 @@
 pub struct Port {
     jobs: Option<SyncSender<Job>>,
     waker: WaitIoWaker,
+    stream: Weak<Stream>,
+}
+
+/// A connection's socket, and what others may know of it.
+pub(crate) struct Stream {
+    pub(crate) socket: TcpStream,
+    /// Something was read that is still on its way to the reducer.
+    pub(crate) unheard: AtomicBool,
 }
 
 impl Port {
@@ -72,12 +84,24 @@
         self.ask(Job::Read(ring));
     }
 
+    /// What was read goes to the reducer now.
+    pub fn heard(&self) {
+        if let Some(stream) = self.stream.upgrade() {
+            stream.unheard.store(false, Ordering::SeqCst);
+        }
+    }
+
     pub fn write(&self, ring: Ring) {
         self.ask(Job::Write(ring));
     }
 
-    pub fn begin(&self, ring: Ring) {
-        self.ask(Job::Begin(ring));
+    pub fn begin(&self, ring: Ring, awaiting: Awaiting) {
+        self.ask(Job::Begin(ring, awaiting));
+    }
+
+    /// Who waits at this client's connection.
+    pub fn awaiting(&self, awaits: Awaits) -> Awaiting {
+        Awaiting { stream: self.stream.clone(), awaits }
     }
 
     /// Half-close: the end of writing is sent, then what still comes is read and dropped until the other side ends, or
@@ -123,7 +147,7 @@
 
 /// A connection that is up, and what its port asks for.
 pub struct Open {
-    stream: TcpStream,
+    stream: Arc<Stream>,
     asked: Receiver<Job>,
 }
 
@@ -131,7 +155,9 @@
     // Answers are written whole; holding back a last small segment would only delay them.
     let _ = stream.set_nodelay(true);
     let (jobs, asked) = sync_channel(MOST_JOBS);
-    (Port { jobs: Some(jobs), waker: stream.waker() }, Open { stream, asked })
+    let waker = stream.waker();
+    let stream = Arc::new(Stream { socket: stream, unheard: AtomicBool::new(false) });
+    (Port { jobs: Some(jobs), waker, stream: Arc::downgrade(&stream) }, Open { stream, asked })
 }
 
 impl Open {
@@ -145,7 +171,7 @@
             events,
             reading: None,
             writing: None,
-            beginning: false,
+            beginning: None,
             half_closing: None,
         };
         pump.run();
@@ -162,13 +188,13 @@
 /// What a connection's coroutine has in hand.
 struct Pump<'a> {
     conn: ConnId,
-    stream: &'a TcpStream,
+    stream: &'a Stream,
     asked: &'a Receiver<Job>,
     events: &'a Sender<Event>,
     reading: Option<Ring>,
     writing: Option<Ring>,
-    /// What is to be written begins a request.
-    beginning: bool,
+    /// What is to be written begins a request, for whoever waits there.
+    beginning: Option<Awaiting>,
     /// It is to be ended in order; whatever has come, if that is true.
     half_closing: Option<bool>,
 }
@@ -180,8 +206,8 @@
     /// Until its port is dropped, or it was ended in order.
     fn run(&mut self) {
         while self.take_jobs().is_ok() {
-            if std::mem::take(&mut self.beginning) {
-                self.begin();
+            if let Some(awaiting) = self.beginning.take() {
+                self.begin(&awaiting);
             }
             self.write();
             self.read();
@@ -191,7 +217,7 @@
             {
                 return linger(self);
             }
-            self.stream.wait_io();
+            self.stream.socket.wait_io();
         }
     }
 
@@ -201,7 +227,9 @@
             match self.asked.try_recv() {
                 Ok(Job::Read(ring)) => self.reading = Some(ring),
                 Ok(Job::Write(ring)) => self.writing = Some(ring),
-                Ok(Job::Begin(ring)) => (self.writing, self.beginning) = (Some(ring), true),
+                Ok(Job::Begin(ring, awaiting)) => {
+                    (self.writing, self.beginning) = (Some(ring), Some(awaiting));
+                }
                 // Asked for while the ring was on its way to the reducer with what had come: the connection was not at
                 // rest, whatever has been asked for since. The reducer ends it again if it still wants to.
                 Ok(Job::HalfClose { discard }) => {
@@ -213,12 +241,20 @@
         }
     }
 
-    /// Looks whether the connection is still good for a request: nothing has come, and it has not ended.
-    fn begin(&mut self) {
+    /// Looks whether the connection is still good for a request: nothing has come, and it has not ended. Then whether
+    /// anybody waits for its answer: what the client said last may not have been read yet.
+    fn begin(&mut self, awaiting: &Awaiting) {
         // With its ring for reading on the way to the reducer, something has come, too.
-        let end = self.reading.as_mut().map(|into| (read(self.stream, into), !into.is_empty()));
+        let end = self.reading.as_mut().map(|into| (read(&self.stream.socket, into), !into.is_empty()));
         let why = match &end {
-            Some((Err(e), false)) if e.kind() == ErrorKind::WouldBlock => return,
+            Some((Err(e), false)) if e.kind() == ErrorKind::WouldBlock => {
+                if let Some(why) = awaiting.objection()
+                    && let Some(ring) = self.writing.take()
+                {
+                    self.report(|conn| Event::Wrote { conn, ring, failed: Some(why) });
+                }
+                return;
+            }
             Some((Err(e), false)) => Cut::of(e),
             _ => Cut::SpokenOn,
         };
@@ -232,7 +268,7 @@
 
     fn write(&mut self) {
         let Some(mut ring) = self.writing.take() else { return };
-        match write(self.stream, &mut ring) {
+        match write(&self.stream.socket, &mut ring) {
             Ok(()) => self.report(|conn| Event::Wrote { conn, ring, failed: None }),
             Err(e) if e.kind() == ErrorKind::WouldBlock => self.writing = Some(ring),
             Err(e) => self.report(|conn| Event::Wrote { conn, ring, failed: Some(Cut::of(&e)) }),
@@ -242,9 +278,10 @@
     fn read(&mut self) {
         let Some(mut ring) = self.reading.take() else { return };
         let before = ring.len();
-        let end = read(self.stream, &mut ring).err();
+        let end = read(&self.stream.socket, &mut ring).err();
         let ended = end.filter(|e| e.kind() != ErrorKind::WouldBlock).as_ref().map(Cut::of);
         if ring.len() > before || ended.is_some() {
+            self.stream.unheard.store(true, Ordering::SeqCst);
             self.report(|conn| Event::Read { conn, ring, ended, at: clock::unix() });
         } else {
             self.reading = Some(ring);
@@ -258,7 +295,7 @@
 
 /// Sends the end of writing, then reads and drops what still comes until the other side ends, too, or its port is dropped.
 fn linger(pump: &Pump<'_>) {
-    let Pump { stream, asked, .. } = pump;
+    let Pump { stream: Stream { socket: stream, .. }, asked, .. } = pump;
     if stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod accept;
 pub mod answer;
+pub mod awaiting;
 pub mod bounds;
 pub mod clock;
 pub mod config;
--- a/crates/front/src/push.rs
+++ b/crates/front/src/push.rs
@@ -127,11 +127,16 @@
         Some(ring)
     }
 
-    /// The request, where writing has failed before any of it went out: it can't have been read. Where a part went out
-    /// before the connection was lost, it may have been.
-    pub fn unwritten(&mut self, ring: &mut Ring) -> Option<Vec<u8>> {
-        let none = self.beginning && ring.len() == self.first;
-        none.then(|| [ring.whole(), self.request.get(self.sent..).unwrap_or_default()].concat())
+    /// Writing has failed before any of the request went out: it can't have been read. Where a part went out before the
+    /// connection was lost, it may have been.
+    pub fn unwritten(&self, ring: &Ring) -> bool {
+        self.beginning && ring.len() == self.first
+    }
+
+    /// Nothing of the request was written, and none of it will be.
+    pub fn rest(&mut self, out: Ring, now: Tenths) {
+        (self.request, self.sent, self.beginning) = (Vec::new(), 0, false);
+        (self.out, self.state, self.since) = (Some(out), State::Idle, now);
     }
 
     /// Room that was reserved for the body.
--- a/crates/front/src/reasons.rs
+++ b/crates/front/src/reasons.rs
@@ -14,6 +14,10 @@
     Failed(i32),
     /// Something had come before the first byte was written: the connection can't be trusted with a request.
     SpokenOn,
+    /// The client for whom a request was to begin has left.
+    ClientLeft,
+    /// The client for whom a request was to begin has said something that was not heard yet.
+    Unheard,
 }
 
 impl Cut {
@@ -28,6 +32,8 @@
             Cut::Ended => f.write_str("ended by the other side"),
             Cut::Failed(number) => write!(f, "{}", std::io::Error::from_raw_os_error(*number)),
             Cut::SpokenOn => f.write_str("something had come on it"),
+            Cut::ClientLeft => f.write_str("its client has left"),
+            Cut::Unheard => f.write_str("its client has said something since"),
         }
     }
 }
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -1,8 +1,10 @@
 //! Every state change of the front. Takes one input, changes state, and asks for effects; no I/O inside.
 
 mod clients;
+mod outlet;
 mod places;
 mod pushes;
+mod sent;
 mod tiers;
 mod told;
 mod trace;
@@ -24,7 +26,7 @@
 use crate::intake::Request;
 use crate::phase::Phase;
 use crate::push::{Line, Pools, State};
-use crate::reasons::{CacheEnd, ClientEnd, Counts};
+use crate::reasons::{CacheEnd, ClientEnd, Counts, Cut};
 use clients::Client;
 pub use doorgrade_control_client::Learned;
 use places::{Ending, Want};
@@ -160,6 +162,12 @@
             Input::Wrote { conn, ring, failed } if self.work.clients.contains_key(&conn) => {
                 self.client_wrote(conn, ring, failed);
             }
+            Input::Wrote { conn, ring, failed: Some(Cut::ClientLeft) } => {
+                if let Some(client) = self.work.not_begun(conn, ring) {
+                    self.drop_client(client, ClientEnd::Left);
+                }
+            }
+            Input::Wrote { conn, ring, failed: Some(Cut::Unheard) } => self.work.begin_after_all(conn, ring),
             Input::Wrote { conn, ring, failed } => self.work.line_wrote(conn, ring, failed),
             Input::HalfClosed(conn) => self.work.half_closed(conn),
             Input::Closed(conn) => self.closed(conn),
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -204,6 +204,7 @@
         if let Some(taken) = self.work.accesses.get_mut(&access)
             && !std::mem::replace(&mut taken.done, true)
         {
+            tracing::debug!(request = taken.call(), "given up by its client");
             self.work.served.ended += 1;
             self.work.stop_unsent(access);
             self.front.left(access, &mut self.work);
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -1,39 +1,17 @@
 //! The reducer's dealings with caches: pushes on their way, and the connections that carry them.
 
-use std::fmt;
+use doorgrade::{AccessId, Outcome};
 
-use doorgrade::{Access, AccessId, Outcome, Outlet, Push, Tenths, Unserved, Ways};
-
-use super::{Effect, Made, Taken, Timer, Work};
-use crate::answer::Reply;
+use super::sent::Sent;
+use super::{Effect, Made, Taken, Work};
 use crate::bounds;
-use crate::conn::ConnId;
-use crate::http::{self, Ask};
-use crate::push::{self, Got, Line, Pools, Progress, State};
+use crate::conn::{Awaits, ConnId};
+use crate::push::{Got, Line, Pools, Progress, State};
 use crate::reasons::{CacheEnd, Cut};
 use crate::ring::Ring;
 
-pub(super) struct Sent {
-    /// The cache and the source.
-    pub(super) names: [Option<u32>; 2],
-    pub(super) at: Tenths,
-    pub(super) conn: Option<ConnId>,
-    /// Kept until a connection is up.
-    pub(super) request: Vec<u8>,
-    /// It is not begun from then on: caches would not know it for a repeat any more.
-    pub(super) begin_by: Tenths,
-    pub(super) live: bool,
-    /// What came of it, for the log.
-    pub(super) ended: Option<Outcome>,
-    /// A new connection was lost before anything was written on it.
-    pub(super) unlucky: bool,
-    /// Refused as full on a new connection: its cache may hold no more of them.
-    pub(super) crowded_out: bool,
-    /// Word has come since that it must heed.
-    pub(super) outdated: bool,
-    /// Its cache was asked to renew its copy behind.
-    pub(super) renews: bool,
-}
+/// A request is put off so often for what its client has said since: more than once only where it says more and more.
+const MOST_PUT_OFF: u8 = 3;
 
 impl Work {
     pub(super) fn connected(&mut self, conn: ConnId, made: Made) {
@@ -65,53 +43,84 @@
 
     /// Writes a push's request on a connection that is up and free.
     pub(super) fn send(&mut self, conn: ConnId, access: AccessId, push: usize) {
+        let via = self.tiers.as_ref().and_then(|t| t.via.as_deref());
         let Some(taken) = self.accesses.get_mut(&access) else { return };
         let Some(sent) = taken.sent.get_mut(push) else { return };
         let Some(line) = self.lines.get_mut(&conn) else { return };
-        if self.now >= sent.begin_by || taken.done {
+        if taken.done || !sent.may_begin(self.now) {
             line.carries = None;
             self.pools.put(line.cache, conn, self.now);
             return self.end_push(access, push, Got::bare(Outcome::NeverSent));
         }
-        sent.conn = Some(conn);
+        let request = sent.request(self.now, &taken.request, via);
+        tracing::trace!("request {:?}", String::from_utf8_lossy(&request));
+        (sent.conn, sent.begun) = (Some(conn), true);
         line.carries = Some((access, push));
-        line.begin(std::mem::take(&mut sent.request), taken.request.tag.is_some());
+        line.begin(request, taken.request.tag.is_some());
+        let awaits = Awaits { client: taken.client, hear_first: sent.put_off < MOST_PUT_OFF };
         if let Some(ring) = line.to_write() {
-            self.effects.push(Effect::Begin(conn, ring));
+            self.effects.push(Effect::Begin(conn, ring, awaits));
         }
     }
 
-    pub(super) fn line_wrote(&mut self, conn: ConnId, mut ring: Ring, failed: Option<Cut>) {
-        if let Some(line) = self.lines.get_mut(&conn) {
-            if failed.is_some()
-                && let Some(request) = line.unwritten(&mut ring)
-            {
-                return self.begin_anew(conn, request);
-            }
-            (line.out, line.beginning) = (Some(ring), false);
-            // A failed write is not the end yet: an answer may be there to be read.
-            if failed.is_none()
-                && let Some(ring) = line.to_write()
-            {
-                self.effects.push(Effect::Write(conn, ring));
-            }
+    pub(super) fn line_wrote(&mut self, conn: ConnId, ring: Ring, failed: Option<Cut>) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        if failed.is_some() && line.unwritten(&ring) {
+            return self.begin_anew(conn);
+        }
+        (line.out, line.beginning) = (Some(ring), false);
+        // A failed write is not the end yet: an answer may be there to be read.
+        if failed.is_none()
+            && let Some(ring) = line.to_write()
+        {
+            self.effects.push(Effect::Write(conn, ring));
+        }
+    }
+
+    /// The client for whom a request was to begin has said something: that has been heard by now, and may have ended the
+    /// request. If not, it begins on the same connection.
+    pub(super) fn begin_after_all(&mut self, conn: ConnId, mut ring: Ring) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        ring.clear();
+        line.rest(ring, self.now);
+        let Some((access, push)) = line.carries else { return };
+        if let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) {
+            (sent.begun, sent.put_off) = (false, sent.put_off + 1);
+        }
+        self.send(conn, access, push);
+    }
+
+    /// Nobody waits for the request that was to begin on this connection, which is as good as before. The client's
+    /// connection, if it is known.
+    pub(super) fn not_begun(&mut self, conn: ConnId, mut ring: Ring) -> Option<ConnId> {
+        let line = self.lines.get_mut(&conn)?;
+        ring.clear();
+        line.rest(ring, self.now);
+        let (cache, place, carries) = (line.cache, line.place, line.carries.take());
+        if self.places.get(&cache) == Some(&place) {
+            self.pools.put(cache, conn, self.now);
+        } else {
+            self.close_line(conn, CacheEnd::Unlisted);
         }
+        let (access, push) = carries?;
+        self.end_push(access, push, Got::bare(Outcome::NeverSent));
+        Some(self.accesses.get(&access)?.client)
     }
 
     /// A connection was lost before a push was written on it: the push goes over another, which is no further
     /// push since nothing of this one can have been read. A second new one lost means that the cache is.
-    fn begin_anew(&mut self, conn: ConnId, request: Vec<u8>) {
+    fn begin_anew(&mut self, conn: ConnId) {
         let Some(line) = self.lines.get_mut(&conn) else { return };
         let (cache, kept, carries) = (line.cache, line.kept, line.carries.take());
         self.close_line(conn, CacheEnd::LostAtRest);
         let Some((access, push)) = carries else { return };
-        let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) else { return };
+        let Some(taken) = self.accesses.get_mut(&access) else { return };
+        let Some(sent) = taken.sent.get_mut(push) else { return };
         let lost = !kept && std::mem::replace(&mut sent.unlucky, true);
-        (sent.request, sent.conn) = (request, None);
-        if self.accesses.get(&access).is_some_and(|t| t.done) {
+        (sent.begun, sent.conn) = (false, None);
+        if taken.done {
             return self.end_push(access, push, Got::bare(Outcome::NeverSent));
         }
-        let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) else { return };
         if lost || sent.outdated || self.carry(cache, access, push).is_none() {
             let outcome = if lost { Outcome::Unreachable } else { Outcome::NeverSent };
             self.end_push(access, push, Got::bare(outcome));
@@ -197,7 +206,7 @@
 
     pub(super) fn end_push(&mut self, access: AccessId, push: usize, got: Got) {
         if let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) {
-            (sent.live, sent.conn, sent.request) = (false, None, Vec::new());
+            (sent.live, sent.conn) = (false, None);
         }
         self.trace_push_end(access, push, &got);
         self.ends.push_back((access, push, got));
@@ -210,7 +219,7 @@
             return;
         }
         // What was never written can't have run, however long it waited for its connection.
-        let unsent = outcome == Outcome::TimedOut && !sent.request.is_empty();
+        let unsent = outcome == Outcome::TimedOut && !sent.begun;
         let outcome = if unsent { Outcome::NeverSent } else { outcome };
         if let Some(conn) = sent.conn
             && let Some(line) = self.lines.get_mut(&conn)
@@ -227,7 +236,7 @@
     /// caches can be told to stop what has.
     pub(super) fn stop_unsent(&mut self, access: AccessId) {
         let Some(taken) = self.accesses.get(&access) else { return };
-        let waits = |&n: &usize| taken.sent[n].live && !taken.sent[n].request.is_empty();
+        let waits = |&n: &usize| taken.sent[n].live && !taken.sent[n].begun;
         let waiting: Vec<_> = (0..taken.sent.len()).filter(waits).collect();
         for push in waiting {
             self.stop_push(access, push, Outcome::NeverSent);
@@ -242,7 +251,7 @@
             for n in 0..taken.sent.len() {
                 if taken.sent[n].live && concerned(taken, &taken.sent[n]) {
                     taken.sent[n].outdated = true;
-                    stale.extend(Some((access, n)).filter(|_| !taken.sent[n].request.is_empty()));
+                    stale.extend(Some((access, n)).filter(|_| !taken.sent[n].begun));
                 }
             }
         }
@@ -293,86 +302,3 @@
         Some(())
     }
 }
-
-impl Outlet for Work {
-    fn ways(&mut self, access: &Access, until: Tenths) -> Ways {
-        self.ask_tiers(access, until)
-    }
-
-    fn push(&mut self, p: &Push<'_>) {
-        self.trace_push(p.access, p.cache, p.source);
-        let Some(taken) = self.accesses.get_mut(&p.access) else { return };
-        let number = taken.sent.len();
-        let r = &*taken.request;
-        let ask = Ask {
-            offering: &r.offering,
-            key: &r.key,
-            part: r.part,
-            id: &r.id,
-            wait_ms: (p.wait / 10).max(1),
-            source: Some(p.source).filter(|s| *s != p.cache),
-            rank: p.rank,
-            // 0 would mean the fresh time.
-            age_ms: if p.age > 0 { (p.age / 10).max(1) } else { 0 },
-            join: p.join,
-            kept_only: p.kept_only,
-            renew: p.renew,
-            have: r.tag.as_deref(),
-            mark: r.mark.as_deref(),
-            body: &r.body,
-            via: self.tiers.as_ref().and_then(|t| t.via.as_deref()),
-        };
-        let request = http::request(&ask);
-        tracing::trace!("request {:?}", String::from_utf8_lossy(&request));
-        let cache = push::number(p.cache).unwrap_or(u32::MAX);
-        let names = [Some(cache), ask.source.and_then(push::number)];
-        taken.sent.push(Sent {
-            names,
-            at: self.now,
-            conn: None,
-            request,
-            begin_by: p.begin_by,
-            live: true,
-            ended: None,
-            unlucky: false,
-            crowded_out: false,
-            outdated: false,
-            renews: p.renew,
-        });
-        if let Some(tiers) = &mut self.tiers {
-            let [cache, source] = [p.cache, p.source].map(doorgrade::hash::text);
-            tiers.guide.pushed(self.now, p.access, number, cache, source, p.kept_only);
-        }
-        self.timers.set(self.now + p.wait, Timer::PushOver(p.access, number));
-        if self.carry(cache, p.access, number).is_none() {
-            self.end_push(p.access, number, Got::bare(Outcome::NeverSent));
-        }
-    }
-
-    fn withdraw(&mut self, access: AccessId, push: usize) {
-        self.stop_push(access, push, Outcome::Withdrawn);
-    }
-
-    fn decline(&mut self, access: AccessId, why: Unserved) {
-        self.trace_decided(access, 503, why);
-        self.answer(access, Reply::bare(503));
-        self.tidy(access);
-    }
-
-    fn give_up(&mut self, access: AccessId, why: Unserved) {
-        self.trace_decided(access, 500, why);
-        self.answer(access, Reply::bare(500));
-        self.tidy(access);
-    }
-
-    fn wake(&mut self, at: Tenths, key: u64) {
-        self.timers.set(at, Timer::Module(key));
-    }
-
-    /// The feed is followed from the start.
-    fn follow_list(&mut self) {}
-
-    fn log(&mut self, text: fmt::Arguments<'_>) {
-        tracing::info!("{text}");
-    }
-}
--- a/crates/front/src/reducer/trace.rs
+++ b/crates/front/src/reducer/trace.rs
@@ -71,9 +71,7 @@
         for access in open {
             let Some(taken) = self.accesses.get(access) else { continue };
             let request = taken.call();
-            if why == ClientEnd::Left {
-                tracing::debug!(request, connection, "given up by its client");
-            } else {
+            if why != ClientEnd::Left {
                 self.counts.lost += 1;
                 tracing::warn!(request, connection, "lost: its connection ended before its answer: {why}");
             }
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -11,12 +11,12 @@
 
 use super::clients::Client;
 use super::places::Want;
-use super::pushes::Sent;
+use super::sent::Sent;
 use super::tiers::Tiers;
 use crate::bounds::Bounds;
 use crate::clock::Timers;
 use crate::config::Renewal;
-use crate::conn::ConnId;
+use crate::conn::{Awaits, ConnId};
 use crate::feed::Names;
 use crate::follow::Feed;
 use crate::intake::Request;
@@ -75,8 +75,8 @@
     Connect(ConnId, SocketAddr),
     Read(ConnId, Ring),
     Write(ConnId, Ring),
-    /// The beginning of a request on a connection that has carried others: written only if it is still good.
-    Begin(ConnId, Ring),
+    /// The beginning of a request: written only if the connection is still good, and somebody still waits.
+    Begin(ConnId, Ring, Awaits),
     /// A client's connection is to be ended in order; unless something has come that was not told yet, where the last
     /// is false.
     HalfClose(ConnId, bool),
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -23,7 +23,7 @@
 use crate::accept::{self, Acceptor};
 use crate::clock::{self, Clock};
 use crate::config::Config;
-use crate::conn::{self, ConnId, Event, Port};
+use crate::conn::{self, Awaiting, ConnId, Event, Port};
 use crate::fastcgi;
 use crate::in_use::{Controlled, InUse, Place, Served, Shared, lock};
 use crate::reducer::{Effect, Input, Made, Reducer};
@@ -72,6 +72,8 @@
         came: Came::default(),
         within,
         events,
+        effects: Vec::new(),
+        heard: None,
         taken: None,
         served: stored.is_some().then(|| served.clone()),
         learned: None,
@@ -195,6 +197,10 @@
     came: Came,
     within: Duration,
     events: Sender<Event>,
+    /// Reused for each input's effects.
+    effects: Vec<Effect>,
+    /// On which connection was said what the reducer has been handed.
+    heard: Option<ConnId>,
     /// Who waits to hear that a version was taken.
     taken: Option<oneshot::Sender<()>>,
     /// Where to put how it serves, if anybody looks.
@@ -282,7 +288,10 @@
                 let own = error.raw_os_error().is_some_and(|e| own.contains(&e));
                 Input::Connected(conn, if own { Made::NoMeans } else { Made::Refused })
             }
-            Event::Read { conn, ring, ended, at } => Input::Read { conn, ring, ended, at },
+            Event::Read { conn, ring, ended, at } => {
+                self.heard = Some(conn);
+                Input::Read { conn, ring, ended, at }
+            }
             Event::Wrote { conn, ring, failed } => Input::Wrote { conn, ring, failed },
             Event::HalfClosed(conn) => Input::HalfClosed(conn),
             Event::Closed(conn) => {
@@ -308,34 +317,47 @@
 
     /// Does what the reducer asks for; true when it asks to exit.
     fn perform(&mut self) -> bool {
-        for effect in self.reducer.effects() {
-            match effect {
-                Effect::Connect(conn, to) => conn::connect(conn, to, self.within, self.events.clone()),
-                Effect::Read(conn, ring) => {
-                    if let Some(port) = self.ports.get(&conn) {
-                        port.read(ring);
-                    }
-                }
-                Effect::Write(conn, ring) => {
-                    if let Some(port) = self.ports.get(&conn) {
-                        port.write(ring);
-                    }
-                }
-                Effect::Begin(conn, ring) => {
-                    if let Some(port) = self.ports.get(&conn) {
-                        port.begin(ring);
-                    }
-                }
-                Effect::HalfClose(conn, discard) => {
-                    if let Some(port) = self.ports.get(&conn) {
-                        port.half_close(discard);
-                    }
-                }
-                Effect::Close(conn) => drop(self.ports.remove(&conn)),
-                Effect::StopListening => self.acceptor.iter().for_each(Acceptor::close),
-                Effect::Exit => return true,
+        let mut effects = std::mem::take(&mut self.effects);
+        effects.extend(self.reducer.effects());
+        // First what ends: a request that its client has given up must not begin while that is being done.
+        for effect in &effects {
+            if let Effect::Close(conn) = effect {
+                self.ports.remove(conn);
             }
         }
+        if let Some(client) = self.heard.take().and_then(|conn| self.ports.get(&conn)) {
+            client.heard();
+        }
+        let exits = effects.drain(..).any(|effect| self.perform_one(effect));
+        self.effects = effects;
+        exits
+    }
+
+    fn perform_one(&mut self, effect: Effect) -> bool {
+        match effect {
+            Effect::Connect(conn, to) => conn::connect(conn, to, self.within, self.events.clone()),
+            Effect::Read(conn, ring) => self.port(conn, |port| port.read(ring)),
+            Effect::Write(conn, ring) => self.port(conn, |port| port.write(ring)),
+            Effect::Begin(conn, ring, awaits) => {
+                let awaiting = match self.ports.get(&awaits.client) {
+                    Some(client) => client.awaiting(awaits),
+                    None => Awaiting::nobody(awaits),
+                };
+                self.port(conn, |port| port.begin(ring, awaiting));
+            }
+            Effect::HalfClose(conn, discard) => self.port(conn, |port| port.half_close(discard)),
+            // Done above.
+            Effect::Close(_) => {}
+            Effect::StopListening => self.acceptor.iter().for_each(Acceptor::close),
+            Effect::Exit => return true,
+        }
         false
     }
+
+    /// One that was closed meanwhile has nothing to do any more.
+    fn port(&self, conn: ConnId, ask: impl FnOnce(&Port)) {
+        if let Some(port) = self.ports.get(&conn) {
+            ask(port);
+        }
+    }
 }
--- a/crates/front/tests/helper/mod.rs
+++ b/crates/front/tests/helper/mod.rs
@@ -189,7 +189,7 @@
                     self.deliver(conn);
                 }
             }
-            Effect::Begin(conn, ring) if self.spoilt.remove(&conn) => {
+            Effect::Begin(conn, ring, _) if self.spoilt.remove(&conn) => {
                 self.input(Input::Wrote { conn, ring, failed: Some(Cut::Ended) });
                 self.input(Input::Read {
                     conn,
@@ -198,7 +198,7 @@
                     at: self.now - self.back,
                 });
             }
-            Effect::Begin(conn, mut ring) if self.cut_writes.is_some() => {
+            Effect::Begin(conn, mut ring, _) if self.cut_writes.is_some() => {
                 ring.consume(self.cut_writes.take().unwrap_or(0));
                 self.input(Input::Wrote { conn, ring, failed: Some(Cut::Ended) });
                 self.input(Input::Read {
@@ -208,7 +208,7 @@
                     at: self.now - self.back,
                 });
             }
-            Effect::Write(conn, mut ring) | Effect::Begin(conn, mut ring) => {
+            Effect::Write(conn, mut ring) | Effect::Begin(conn, mut ring, _) => {
                 let Some(c) = self.conns.get_mut(&conn).filter(|_| !self.stuck.contains(&conn)) else {
                     return;
                 };
