Three failing tests: a wall clock that is stepped while a front runs

Terms: a machine's wall clock may be stepped by seconds or an hour; deadlines, windows, waits and graces are spans of real time. The reducer's time is the Unix clock's, held where that is set back by more than a second. Stepped by 1 h, 5 s and 0.9 s, both ways, under a real front: a write in hand is answered 500 at once, one whose cache hangs is given up after 241 ms of 800, the end after SIGTERM comes at once and refuses whoever still comes.

--- a/crates/cli/tests/helper/mod.rs
+++ b/crates/cli/tests/helper/mod.rs
@@ -1,6 +1,7 @@
 //! The program itself as a process.
 #![allow(dead_code)] // Each test file uses a part.
 
+pub mod clock;
 pub mod control;
 pub mod fleet;
 pub mod forced;
