--- a/crates/cli/tests/clocks.rs
+++ b/crates/cli/tests/clocks.rs
@@ -58,6 +58,8 @@
 fn an_end_takes_as_long_as_ever_though_the_clock_is_stepped() {
     for ms in STEPS {
         let mut rig = Rig::start(0);
+        rig.one.preload(&format!("/data/images/{KEY}/0"), 0);
+        rig.two.preload(&format!("/data/images/{KEY}/0"), 0);
         rig.origin.gate().shut(true);
         let mut client = Client::connect(rig.front.at).unwrap();
         client.send_access(&write(KEY, 60_000)).unwrap();
--- a/crates/control-client/src/memory.rs
+++ b/crates/control-client/src/memory.rs
@@ -83,7 +83,7 @@
 impl Remember {
     /// Nothing that is wrong with the store ends a start: the front then remembers nothing, and says so.
     pub fn open(own: Recall, settings: &Path, name: &str, rules: Rules) -> Remember {
-        let now = clock::unix();
+        let now = clock::now();
         let path = files::beside(settings, &own.store);
         let store = match Records::open(&path) {
             Ok((records, trouble)) => {
@@ -170,7 +170,7 @@
     /// Times of what is remembered are of the clock that caches and neighbours have, too: it may be set back, and what it
     /// then shows to be to come is dropped. All else goes by a clock that never goes back, which is handed in.
     pub fn saw(&mut self, seen: &[Learned]) {
-        let now = clock::unix();
+        let now = clock::now();
         self.changed |= !seen.is_empty();
         for seen in seen {
             match seen {
@@ -190,7 +190,7 @@
     pub fn write(&mut self, now: Tenths, incarnation: u64) {
         self.written = now;
         let Some(store) = self.store.as_ref().filter(|_| self.changed) else { return };
-        let taken = clock::unix();
+        let taken = clock::now();
         let snapshot = Snapshot::take(&self.memory, &self.name, incarnation, taken);
         let (front, lists) = (self.name.as_str().into(), self.homes.clone());
         let homes = Homes { format: HOMES_FORMAT, front, taken, lists };
@@ -261,7 +261,7 @@
         if self.asking.as_ref().is_some_and(|a| !a.gives(remembers)) {
             return Gave::Nothing;
         }
-        self.giving.page(now, clock::unix(), to, &self.memory, page)
+        self.giving.page(now, clock::now(), to, &self.memory, page)
     }
 
     /// A page that was asked for has come; what of it is new is for the instance to hear.
@@ -275,7 +275,7 @@
         if !self.asking.as_mut()?.given(from, page, pages) {
             return None;
         }
-        let (fills, purges, tally) = self.memory.hear(clock::unix(), Source::Neighbour, fills, purges);
+        let (fills, purges, tally) = self.memory.hear(clock::now(), Source::Neighbour, fills, purges);
         self.tally.add(&tally);
         self.changed = true;
         Some((fills, purges)).filter(|news| !news.0.is_empty() || !news.1.is_empty())
--- a/crates/control-client/src/neighbours/exchange.rs
+++ b/crates/control-client/src/neighbours/exchange.rs
@@ -13,7 +13,7 @@
 use super::socket::{Peers, receive};
 use super::{MOST_DATAGRAM, Membership, Recalled};
 use crate::Learned;
-use crate::clock::Clock;
+use crate::clock;
 use crate::memory::Remember;
 use crate::seal_keys::RELOAD_EACH;
 use crate::worker::Stopped;
@@ -34,7 +34,6 @@
     pub(super) to_remember: queue::Receiver<Vec<Learned>>,
     pub(super) recalled: Recalled,
     pub(super) incarnation: u64,
-    pub(super) clock: Clock,
     /// When it was bound.
     pub(super) now: Tenths,
 }
@@ -42,10 +41,10 @@
 impl Exchange {
     /// Until it is stopped; the snapshot of what is remembered is written last.
     pub async fn run(self, stopped: Stopped) {
-        let Exchange { membership, socket, remember, to_remember, recalled, incarnation, clock, now } = self;
+        let Exchange { membership, socket, remember, to_remember, recalled, incarnation, now } = self;
         let pages = Words::new(MOST_PAGES, now);
         let (peers, unbound) = (None, membership);
-        let mut running = Running { peers, unbound, remember, recalled, incarnation, pages, clock };
+        let mut running = Running { peers, unbound, remember, recalled, incarnation, pages };
         running.begin(socket);
         running.run(to_remember, stopped).await;
     }
@@ -60,8 +59,6 @@
     incarnation: u64,
     /// Pages of status.
     pages: Words,
-    /// Of all but what is remembered: set back, the system's clock would stop every wait and probe.
-    clock: Clock,
 }
 
 impl Running {
@@ -69,7 +66,7 @@
     fn begin(&mut self, socket: Option<std::net::UdpSocket>) {
         let Some(socket) = socket else { return };
         let Some(membership) = self.unbound.take() else { return };
-        match Peers::new(membership, socket, self.incarnation, self.clock.now()) {
+        match Peers::new(membership, socket, self.incarnation, clock::now()) {
             Ok(peers) => self.peers = Some(peers),
             Err(e) => tracing::error!("neighbours: {e}"),
         }
@@ -93,7 +90,7 @@
         let mut reload = tokio::time::interval(RELOAD_EACH);
         let mut again = tokio::time::interval(BIND_EACH);
         loop {
-            let now = self.clock.now();
+            let now = clock::now();
             let dues = [
                 self.peers.as_ref().map(|p| p.members.next()),
                 self.remember.as_ref().map(Remember::due),
@@ -114,7 +111,7 @@
                 _ = reload.tick() => self.peers.iter_mut().for_each(Peers::reload_keys),
                 _ = &mut stopped => {
                     // What it knows now is worth most to the start that follows.
-                    return self.remember.iter_mut().for_each(|r| r.write(self.clock.now(), self.incarnation));
+                    return self.remember.iter_mut().for_each(|r| r.write(clock::now(), self.incarnation));
                 }
             }
             self.tick().await;
@@ -123,7 +120,7 @@
 
     /// Whatever is due.
     async fn tick(&mut self) {
-        let now = self.clock.now();
+        let now = clock::now();
         if let Some(peers) = self.peers.as_mut().filter(|p| p.members.next() <= now) {
             peers.members.tick(now);
         }
@@ -141,7 +138,7 @@
     }
 
     async fn hear(&mut self, from: SocketAddrV4, bytes: &[u8]) {
-        let now = self.clock.now();
+        let now = clock::now();
         let Some(peers) = &mut self.peers else { return };
         match peers.keys.open(peers.membership.own.address, bytes) {
             Ok([OF_MEMBERS, content @ ..]) => peers.members.hear(now, content),
@@ -158,7 +155,7 @@
     }
 
     async fn message(&mut self, from: SocketAddrV4, message: Message) {
-        let now = self.clock.now();
+        let now = clock::now();
         match message {
             Message::Ask { number, page } => self.answer(from, number, page).await,
             // Whoever asked is a command, and no front.
@@ -186,7 +183,7 @@
     }
 
     async fn answer(&mut self, to: SocketAddrV4, number: u32, page: u16) {
-        let now = self.clock.now();
+        let now = clock::now();
         let Some(peers) = self.peers.as_ref().filter(|_| self.pages.may(now)) else { return };
         let members = &peers.members;
         let seen = members.seen();
@@ -206,7 +203,7 @@
     }
 
     async fn perform(&mut self) {
-        let now = self.clock.now();
+        let now = clock::now();
         let Some(peers) = &mut self.peers else { return };
         for done in peers.members.take() {
             match done {
--- a/crates/control-client/src/neighbours/mod.rs
+++ b/crates/control-client/src/neighbours/mod.rs
@@ -21,7 +21,7 @@
 use doorgrade_recall::{Fill, Purge};
 use tokio::sync::mpsc as queue;
 
-use crate::clock::Clock;
+use crate::clock;
 use crate::memory::{self, Remember};
 use crate::seal_keys::{SealKeys, read_keys};
 use crate::worker::Worker;
@@ -130,8 +130,7 @@
     /// Binds the socket. What is recalled goes to `recalled`; what the instance sees from now on is taken at the sender
     /// that comes back, if anything is remembered.
     pub fn bind(mut self, recalled: Recalled) -> Result<(Exchange, Option<Learning>), SetupError> {
-        let mut clock = Clock::default();
-        let now = clock.now();
+        let now = clock::now();
         let before = self.remember.as_ref().map_or(0, |r| r.last_incarnation.saturating_add(1));
         let incarnation = (now / 10).max(before);
         let socket = self.membership.as_ref().map(Membership::bind).transpose()?.flatten();
@@ -145,10 +144,7 @@
             tracing::warn!("neighbours: the address to listen on is in use: waits for it");
         }
         let Neighbourhood { membership, remember } = self;
-        Ok((
-            Exchange { membership, socket, remember, to_remember, recalled, incarnation, clock, now },
-            learned,
-        ))
+        Ok((Exchange { membership, socket, remember, to_remember, recalled, incarnation, now }, learned))
     }
 
     /// Binds the socket and starts the thread.
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -262,7 +262,7 @@
             self.report(|conn| Event::Wrote { conn, ring, failed: Some(why) });
         }
         if let Some(ring) = self.reading.take() {
-            self.report(|conn| Event::Read { conn, ring, ended: Some(why), at: clock::unix() });
+            self.report(|conn| Event::Read { conn, ring, ended: Some(why), at: clock::now() });
         }
     }
 
@@ -282,7 +282,7 @@
         let ended = end.filter(|e| e.kind() != ErrorKind::WouldBlock).as_ref().map(Cut::of);
         if ring.len() > before || ended.is_some() {
             self.stream.unheard.store(true, Ordering::SeqCst);
-            self.report(|conn| Event::Read { conn, ring, ended, at: clock::unix() });
+            self.report(|conn| Event::Read { conn, ring, ended, at: clock::now() });
         } else {
             self.reading = Some(ring);
         }
--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -35,6 +35,16 @@
     },
 }
 
+impl Event {
+    /// The latest time that it tells.
+    pub fn latest(&self) -> Option<Tenths> {
+        match self {
+            Event::List { members, .. } => members.iter().filter_map(|l| l.member.started).max(),
+            Event::Purge { at, .. } => Some(*at),
+        }
+    }
+}
+
 /// Later times, in Unix milliseconds, are taken for this one: sums of times must not overflow.
 const MOST_TIME: u64 = 1 << 50;
 
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -5,6 +5,7 @@
 use crate::conn::ConnId;
 use crate::feed::{Event, Frames, Malformed, Names};
 use crate::ring::Ring;
+use crate::stamps::Told;
 
 /// The connection to the feed.
 pub struct Feed {
@@ -13,6 +14,10 @@
     /// The last event that was taken.
     pub number: u64,
     pub heard: Tenths,
+    /// It has told all that was missed since the last connection.
+    caught_up: bool,
+    /// Until then it is known what has happened.
+    known_until: Tenths,
     frames: Frames,
     delay: Tenths,
 }
@@ -23,13 +28,24 @@
     /// A connection that ends at once is not made again at once: from 0.1 s, doubling up to 1 s.
     const DELAYS: [Tenths; 2] = [1_000, 10_000];
 
-    pub fn new(number: u64) -> Self {
-        Feed { conn: None, up: false, number, heard: 0, frames: Frames::default(), delay: Self::DELAYS[0] }
+    pub fn new(number: u64, now: Tenths) -> Self {
+        let (conn, up, heard, caught_up) = (None, false, 0, false);
+        let (frames, delay) = (Frames::default(), Self::DELAYS[0]);
+        Feed { conn, up, number, heard, caught_up, known_until: now, frames, delay }
+    }
+
+    /// How the event taken last was told.
+    pub fn told(&self) -> Told {
+        match self.caught_up {
+            true => Told::AsItHappens,
+            false => Told::Behind { since: self.known_until },
+        }
     }
 
     /// The connection is up: what to write on it.
     pub fn begin(&mut self, now: Tenths) -> [u8; 8] {
         (self.up, self.heard, self.frames) = (true, now, Frames::default());
+        self.caught_up = false;
         self.number.to_be_bytes()
     }
 
@@ -37,6 +53,11 @@
     pub fn take(&mut self, ring: &mut Ring, names: &Names, now: Tenths) -> Result<Option<Event>, Malformed> {
         while let Some((number, event)) = self.frames.next(ring, names)? {
             (self.heard, self.delay) = (now, Self::DELAYS[0]);
+            // It says that there is nothing new only once all else is told.
+            self.caught_up |= event.is_none();
+            if self.caught_up {
+                self.known_until = now;
+            }
             if let Some(event) = event.filter(|_| number > self.number) {
                 self.number = number;
                 return Ok(Some(event));
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod reducer;
 pub mod ring;
 pub mod serve;
+pub mod stamps;
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -22,11 +22,13 @@
 use crate::clock::Timers;
 use crate::config::Config;
 use crate::conn::ConnId;
+use crate::feed;
 use crate::follow::Feed;
 use crate::intake::Request;
 use crate::phase::Phase;
 use crate::push::{Line, Pools, State};
 use crate::reasons::{CacheEnd, ClientEnd, Counts, Cut};
+use crate::stamps::{Stamps, Told};
 use clients::Client;
 pub use doorgrade_control_client::Learned;
 use places::{Ending, Want};
@@ -68,7 +70,7 @@
                 lines: FxHashMap::default(),
                 pools: Pools::default(),
                 places: FxHashMap::default(),
-                feed: Feed::new(number),
+                feed: Feed::new(number, now),
                 accesses: FxHashMap::default(),
                 by_id: FxHashMap::default(),
                 next_access: 0,
@@ -82,7 +84,7 @@
                 told_at: now,
                 complaints: 0,
                 complained_at: 0,
-                ahead: 0,
+                stamps: Stamps::default(),
                 tiers,
                 learned,
             },
@@ -93,8 +95,9 @@
             reducer.work.bounds,
             events.len()
         );
+        let latest = events.iter().filter_map(feed::Event::latest).max().unwrap_or(now);
         for event in events {
-            reducer.hear(event);
+            reducer.hear(event, Told::AtStart { latest });
         }
         reducer.settle();
         reducer
@@ -130,15 +133,15 @@
         &self.work.most
     }
 
-    /// The system's clock was set back; times that come from outside are moved as `now` is.
-    pub fn set_ahead(&mut self, by: Tenths) {
-        self.work.ahead = by;
+    /// What the wall clock shows; times that others tell are read by it.
+    pub fn set_wall(&mut self, now: Tenths, unix: Tenths) {
+        self.work.stamps.set_wall(now, unix);
     }
 
     pub fn input(&mut self, now: Tenths, input: Input) {
         self.work.now = self.work.now.max(now);
         if let Input::Read { at, .. } = &input {
-            let queued = self.work.now.saturating_sub(at + self.work.ahead);
+            let queued = self.work.now.saturating_sub(*at);
             self.work.most.queued = self.work.most.queued.max(queued);
         }
         match input {
@@ -242,8 +245,7 @@
                 && let Some((ms, taken)) = got.made_at.zip(taken)
                 && self.work.learned.is_some()
             {
-                let at = now.saturating_sub(self.work.ahead);
-                let fill = fill(&self.work.offerings, &taken.request, ms, at);
+                let fill = fill(&self.work.offerings, &taken.request, ms, now);
                 self.work.learned.iter_mut().for_each(|learned| learned.push(Learned::Fill(fill)));
             }
             if outcome == Outcome::Handled && taken.is_some_and(|t| !t.done) {
@@ -254,7 +256,8 @@
             }
             let settled = self.work.accesses.get(&id).is_none_or(|t| t.done);
             // Bytes from outside: a number that no clock holds is no time.
-            let made = got.made_at.and_then(|ms| ms.checked_mul(10)?.checked_add(self.work.ahead));
+            let made = got.made_at.and_then(|ms| ms.checked_mul(10));
+            let made = made.map(|at| self.work.stamps.local(now, at));
             let ended = Ended { push, outcome, settled, lag, note, made };
             self.work.tell_tiers(id, &ended, got.ring.as_deref());
             self.front.ended(now, id, &ended, &mut self.work);
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -174,7 +174,7 @@
         client.accesses.insert(id, access);
         // Once for the access, and once more on its way to a cache.
         work.bodies += 2 * request.body.len();
-        let until = (at + work.ahead).min(work.now) + request.wait;
+        let until = at.min(work.now) + request.wait;
         let asked = Access {
             id: access,
             offering,
--- a/crates/front/src/reducer/tiers.rs
+++ b/crates/front/src/reducer/tiers.rs
@@ -95,17 +95,14 @@
         else {
             return;
         };
-        let mut kept = tiers.guide.kept();
-        kept.iter_mut().for_each(|k| k.begun = k.begun.saturating_sub(self.ahead));
-        learned.push(Learned::Homes(kept));
+        learned.push(Learned::Homes(tiers.guide.kept()));
     }
 
     /// Homes from before the start. The list after it has been told.
-    pub(super) fn recall_homes(&mut self, taken: Tenths, mut kept: Vec<Kept>) {
+    pub(super) fn recall_homes(&mut self, taken: Tenths, kept: Vec<Kept>) {
         let Some(tiers) = &mut self.tiers else { return };
-        kept.iter_mut().for_each(|k| k.begun = k.begun.saturating_add(self.ahead));
         let since = kept.first().map_or(0, |k| self.now.saturating_sub(k.begun) / 10);
-        let recalled = tiers.guide.recall(self.now, taken.saturating_add(self.ahead), &kept);
+        let recalled = tiers.guide.recall(self.now, taken, &kept);
         match recalled {
             Ok(lists) => {
                 tracing::info!(
--- a/crates/front/src/reducer/told.rs
+++ b/crates/front/src/reducer/told.rs
@@ -13,15 +13,16 @@
 use crate::push::{self, Place};
 use crate::reasons::{CacheEnd, Cut};
 use crate::ring::Ring;
+use crate::stamps::Told;
 
 impl Reducer {
-    pub(super) fn hear(&mut self, event: feed::Event) {
+    pub(super) fn hear(&mut self, event: feed::Event, told: Told) {
         let now = self.work.now;
         match event {
             feed::Event::List { whole, members } => {
                 let anew = self.work.list(whole, &members);
-                let moved = |m: Member| Member { started: m.started.map(|t| t + self.work.ahead), ..m };
-                let members: Vec<Member> = members.into_iter().map(|l| moved(l.member)).collect();
+                let members: Vec<_> =
+                    members.into_iter().map(|l| self.work.started(l.member, told)).collect();
                 self.work.list_tiers(&members, whole);
                 self.front.listed(now, &members, whole, &mut self.work);
                 let stays = |m: &&Member| m.standing == Standing::Listed;
@@ -37,32 +38,35 @@
                 if let Some(seen) = &mut self.work.learned {
                     seen.push(Learned::Purge(Purge { object, group: group as u16, at }));
                 }
-                self.purged(object, group, at);
+                self.purged(object, group, self.work.stamps.purged(now, at, told));
             }
         }
     }
 
-    pub(super) fn purged(&mut self, object: Option<u64>, group: u64, at: Tenths) {
+    /// At a time of this process.
+    fn purged(&mut self, object: Option<u64>, group: u64, at: Tenths) {
         let now = self.work.now;
-        self.front.purged(now, object, group, now.saturating_sub(at.saturating_add(self.work.ahead)));
+        self.front.purged(now, object, group, now.saturating_sub(at));
         let of = |r: &Request| object.map_or(r.group == group, |o| r.object == o);
         self.work.recall(|taken, _| of(&taken.request));
     }
 
     /// Memory from before the start, or of others. What was seen since goes before it, in the module.
     pub(super) fn recall(&mut self, fills: &[Fill], purges: &[Purge]) {
-        let (now, ahead) = (self.work.now, self.work.ahead);
-        purges.iter().for_each(|p| self.purged(p.object, u64::from(p.group), p.at));
+        let now = self.work.now;
+        for p in purges {
+            let at = self.work.stamps.local(now, p.at);
+            self.purged(p.object, u64::from(p.group), at);
+        }
         for f in fills {
-            let moved = |at: Tenths| at.saturating_add(ahead);
-            self.front.recall(now, (f.object, f.part), moved(f.made), moved(f.seen));
+            self.front.recall(now, (f.object, f.part), f.made, f.seen);
         }
     }
 
     pub(super) fn feed_read(&mut self, conn: ConnId, mut ring: Ring, ended: Option<Cut>) {
         loop {
             match self.work.feed.take(&mut ring, &self.work.names, self.work.now) {
-                Ok(Some(event)) => self.hear(event),
+                Ok(Some(event)) => self.hear(event, self.work.feed.told()),
                 Ok(None) => break,
                 Err(feed::Malformed(what)) => {
                     tracing::warn!(
@@ -152,9 +156,18 @@
                 self.places.insert(cache, place);
             }
         }
+        let places = &self.places;
+        self.stamps.forget(|member| places.contains_key(&member));
         anew
     }
 
+    /// A member as it is told, its start as a time of this process.
+    fn started(&mut self, member: Member, told: Told) -> Member {
+        let number = push::number(&member.id).unwrap_or(u32::MAX);
+        let started = member.started.map(|at| self.stamps.started(self.now, number, at, told));
+        Member { started, ..member }
+    }
+
     pub(super) fn drop_idle(&mut self, cache: u32) {
         for conn in self.pools.drop_all(cache) {
             self.close_line(conn, CacheEnd::Unlisted);
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -24,6 +24,7 @@
 use crate::push::{Got, Line, Place, Pools};
 use crate::reasons::{Counts, Cut};
 use crate::ring::Ring;
+use crate::stamps::Stamps;
 
 /// What came of a connection that was asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -208,8 +209,8 @@
     /// Not yet in the log, and when the last was.
     pub(super) complaints: usize,
     pub(super) complained_at: Tenths,
-    /// By how much `now` is ahead of the system's clock, which was set back.
-    pub(super) ahead: Tenths,
+    /// Readings of times that others tell.
+    pub(super) stamps: Stamps,
     /// Parents in tiers, where operators have said so.
     pub(super) tiers: Option<Tiers>,
     /// What was seen since it was asked last; none where nobody remembers it.
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -21,7 +21,7 @@
 use doorgrade::Tenths;
 
 use crate::accept::{self, Acceptor};
-use crate::clock::{self, Clock};
+use crate::clock;
 use crate::config::Config;
 use crate::conn::{self, Awaiting, ConnId, Event, Port};
 use crate::fastcgi;
@@ -62,10 +62,9 @@
     let known = neighbourhood.as_ref().map(Neighbourhood::known);
     let homes = neighbourhood.as_ref().and_then(Neighbourhood::homes);
     let within = Duration::from_micros(config.told.connect_within * 100);
-    let mut clock = Clock::default();
     let served = Arc::new(Served::default());
     let mut driver = Driver {
-        reducer: Reducer::new(config, clock.now()),
+        reducer: Reducer::new(config, clock::now()),
         ports: FxHashMap::default(),
         acceptor: None,
         stop,
@@ -80,16 +79,16 @@
         handed: 0,
     };
     if let Some((fills, purges)) = known {
-        driver.reducer.input(clock.now(), Input::Recall(fills, purges));
+        driver.reducer.input(clock::now(), Input::Recall(fills, purges));
     }
     if let Some((taken, kept)) = homes {
-        driver.reducer.input(clock.now(), Input::Homes(taken, kept));
+        driver.reducer.input(clock::now(), Input::Homes(taken, kept));
     }
     let acceptor = accept::listen(listen, driver.reducer.clients(), driver.events.clone())
         .map_err(|e| format!("key 'listen': {listen}: {e}"))?;
     tracing::info!("{name} listens on {}", acceptor.local);
     driver.acceptor = Some(acceptor);
-    driver.reducer.input(clock.now(), Input::Listening);
+    driver.reducer.input(clock::now(), Input::Listening);
     let controlled = Controlled { in_use, served };
     let follows = stored.map(|stored| stored.follow(name, controlled)).transpose()?;
     let exchanges = match neighbourhood {
@@ -102,7 +101,7 @@
         }
         None => None,
     };
-    driver.run(&mut clock, &happened);
+    driver.run(&happened);
     follows.into_iter().chain(exchanges).for_each(Worker::stop);
     tracing::info!("ends; at the most: {:?}", driver.reducer.most());
     Ok(())
@@ -216,16 +215,16 @@
 const HANDED_EACH: Tenths = 2_500;
 
 impl Driver {
-    fn run(&mut self, clock: &mut Clock, happened: &Receiver<Event>) {
+    fn run(&mut self, happened: &Receiver<Event>) {
         loop {
             if self.perform() {
                 return self.hand_on();
             }
-            let now = clock.now();
+            let now = clock::now();
             let event = self.next(now, happened);
             let input = event.map_or(Input::Tick, |event| self.input(event));
-            let now = clock.now();
-            self.reducer.set_ahead(clock.ahead);
+            let now = clock::now();
+            self.reducer.set_wall(now, clock::unix());
             self.reducer.input(now, input);
             if let Some(acceptor) = &self.acceptor {
                 acceptor.set_most(self.reducer.clients());
--- /dev/null
+++ b/crates/front/src/stamps.rs
@@ -0,0 +1,66 @@
+//! Times that others tell, by the clocks of their machines, as times of this process.
+//!
+//! This machine's wall clock may have been stepped since the start, rightly or wrongly, or have stood wrong then. What is
+//! told of purges and starts has to bind all the same.
+
+use doorgrade::Tenths;
+use rustc_hash::FxHashMap;
+
+/// Clocks of machines that are kept right differ by less.
+const CLOSE: Tenths = 10_000;
+
+/// How word has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// With the configuration. The latest time in it.
+    AtStart { latest: Tenths },
+    /// By the feed, after a time without word; until then there was nothing of it.
+    Behind { since: Tenths },
+    /// By the feed, as it happened.
+    AsItHappens,
+}
+
+/// Readings of others' times.
+#[derive(Debug, Default)]
+pub struct Stamps {
+    /// By how much this process's time is ahead of the wall clock, which was stepped.
+    ahead: i64,
+    /// Of each member, the start that was told last, and when that was by this process's time.
+    starts: FxHashMap<u32, (Tenths, Tenths)>,
+}
+
+impl Stamps {
+    pub fn set_wall(&mut self, now: Tenths, unix: Tenths) {
+        self.ahead = now as i64 - unix as i64;
+    }
+
+    /// Either the wall clock was right at the start, or it is now. Nothing that is told lies in the future: of both
+    /// readings the later one that does not.
+    pub fn local(&self, now: Tenths, stamp: Tenths) -> Tenths {
+        let moved = stamp.saturating_add_signed(self.ahead);
+        let past = |t: &Tenths| *t <= now + CLOSE;
+        [stamp, moved].into_iter().filter(past).max().unwrap_or(now).min(now)
+    }
+
+    /// When something was purged.
+    pub fn purged(&self, now: Tenths, at: Tenths, _: Told) -> Tenths {
+        self.local(now, at)
+    }
+
+    /// When a member started.
+    pub fn started(&mut self, now: Tenths, member: u32, at: Tenths, _: Told) -> Tenths {
+        if let Some(&(known, local)) = self.starts.get(&member)
+            && known == at
+        {
+            return local;
+        }
+        let local = self.local(now, at);
+        self.starts.insert(member, (at, local));
+        local
+    }
+
+    /// Members that are not listed any more.
+    pub fn forget(&mut self, keep: impl Fn(u32) -> bool) {
+        self.starts.retain(|&member, _| keep(member));
+    }
+}
