Purges and starts bind a front whose clock stood wrong when it started

Cause: their times are of other machines' clocks and were compared with this one's; an hour ahead, a purge was over and a cold cache warm when told. Change: a purge told as it happens is of now, one told after a time without word no older than that time, those known at the start are as old as the latest word of it says. A start that is told as it happens and looks older than lists run behind (10 s) is of now; none lies in the future, and one is read once. Where clocks agree, purges told as they happen are younger by the feed's delay, and fills of that moment are asked for anew. Left: a start known from the configuration alone is read by the wall clock of the start.

--- a/crates/front/src/stamps.rs
+++ b/crates/front/src/stamps.rs
@@ -1,13 +1,15 @@
 //! Times that others tell, by the clocks of their machines, as times of this process.
 //!
 //! This machine's wall clock may have been stepped since the start, rightly or wrongly, or have stood wrong then. What is
-//! told of purges and starts has to bind all the same.
+//! told of purges and starts has to bind all the same, so a doubt makes a purge younger and a cache colder.
 
 use doorgrade::Tenths;
 use rustc_hash::FxHashMap;
 
 /// Clocks of machines that are kept right differ by less.
 const CLOSE: Tenths = 10_000;
+/// Lists run behind by less: a start that is told as it comes and looks older was told by another clock.
+const LISTS_BEHIND: Tenths = 100_000;
 
 /// How word has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,19 +44,28 @@
         [stamp, moved].into_iter().filter(past).max().unwrap_or(now).min(now)
     }
 
-    /// When something was purged.
-    pub fn purged(&self, now: Tenths, at: Tenths, _: Told) -> Tenths {
-        self.local(now, at)
+    /// When something was purged, at the earliest.
+    pub fn purged(&self, now: Tenths, at: Tenths, told: Told) -> Tenths {
+        match told {
+            // As if the latest were of just now: nothing tells whether it is, where the clock stood wrong.
+            Told::AtStart { latest } => now.saturating_sub(latest.saturating_sub(at)),
+            Told::Behind { since } => self.local(now, at).max(since).min(now),
+            Told::AsItHappens => now,
+        }
     }
 
     /// When a member started.
-    pub fn started(&mut self, now: Tenths, member: u32, at: Tenths, _: Told) -> Tenths {
+    pub fn started(&mut self, now: Tenths, member: u32, at: Tenths, told: Told) -> Tenths {
         if let Some(&(known, local)) = self.starts.get(&member)
             && known == at
         {
             return local;
         }
         let local = self.local(now, at);
+        let local = match told {
+            Told::AsItHappens if local + LISTS_BEHIND < now => now,
+            _ => local,
+        };
         self.starts.insert(member, (at, local));
         local
     }
