A failing test: a stepped clock makes the agent kill an instance over its request

Stepped forward by an hour while an instance ends, SIGKILL follows at once, and the request in hand gets no answer. The tests' ports come from ports.rs.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -9,6 +9,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 
 use doorgrade_agent::process::{find, signal};
+use doorgrade_standins::client::Asked;
+use doorgrade_standins::ports::free_address;
+use doorgrade_standins::shim::{Fault, Shim};
 use doorgrade_standins::{Client, Directory, Feed, Member, Role, Spec};
 use helper::until;
 use rustix::process::Signal;
@@ -21,7 +24,9 @@
     name: String,
     at: Vec<SocketAddr>,
     agent: Option<Child>,
-    _members: [Member; 2],
+    /// Faults of the system under the agent and all that it starts.
+    shim: Shim,
+    members: [Member; 2],
     _feed: Feed,
 }
 
@@ -49,10 +54,7 @@
             config = config.replace(&format!("127.0.0.1:{from}"), &to.to_string());
         }
         std::fs::write(folder.join("config.json"), config).unwrap();
-        // All at once, so that none is given twice.
-        let held: Vec<TcpListener> = (0..FRONTS).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        let at: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
-        drop(held);
+        let at: Vec<SocketAddr> = (0..FRONTS).map(|_| free_address()).collect();
         let mut text = format!(
             "agent {{\n  name = \"{name}\"\n  program = \"{}\"\n  journal = \"agent.redb\"\n  socket = \"agent.sock\"\n  \
              logs = \"logs\"\n}}\npace {{\n  cold = 2\n  cold_for_ms = 100\n  drain_for_ms = 300\n  down = 0.34\n}}\n",
@@ -65,7 +67,8 @@
             );
         }
         std::fs::write(folder.join("agent.hcl"), text).unwrap();
-        let mut rig = Rig { folder, name, at, agent: None, _members: [cache, origin], _feed: feed };
+        let (shim, members) = (Shim::new(1).unwrap(), [cache, origin]);
+        let mut rig = Rig { folder, name, at, agent: None, shim, members, _feed: feed };
         rig.start_agent();
         rig
     }
@@ -73,6 +76,7 @@
     fn agent_command(&self) -> Command {
         let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
         command.arg("agent").arg("--file").arg(self.folder.join("agent.hcl")).stderr(Stdio::null());
+        command.envs(self.shim.environment().unwrap());
         command
     }
 
@@ -223,3 +227,26 @@
     assert_eq!(orders["orders"].as_array().unwrap().len(), 3);
     rig.done(&["stop", "--all", "--force", "hill", "--force", "harbour"]);
 }
+
+/// An instance that is told to stop has a request in hand when the machine's clock is stepped forward. The agent took the
+/// hour for passed, and killed the instance over the request.
+#[test]
+fn an_instance_that_is_stopping_is_left_its_time_though_the_clock_is_stepped() {
+    let rig = Rig::new("clock");
+    rig.done(&["start", "--all"]);
+    let origin = &rig.members[1];
+    origin.gate().shut(true);
+    let mut client = Client::connect(rig.at[0]).unwrap();
+    let key = "7f3a9c21e0b4d655";
+    let asked = Asked { class: "orders", key, bucket: 17, wait_ms: 1_500, body: b"a write" };
+    client.send_access(&asked).unwrap();
+    until("its origin has it", || origin.gate().waiting() == 1);
+    rig.done(&["stop", "n0", "--no-wait"]);
+    until("it is told to stop", || rig.states()[0] == "stopping");
+    let hour_ns = 3_600_000_000_000;
+    rig.shim.set(Fault::ClockOffsetNs, hour_ns).unwrap();
+    let (head, _) = client.receive().expect("an answer, though nobody knows whether it ran");
+    assert!(head.starts_with("Status: 500"), "{head}");
+    origin.gate().shut(false);
+    until("it has stopped", || rig.states()[0] == "stopped");
+}
