Agent and service of versions go by the monotonic clock, too

Change: the clock stands in stream/src/clock.rs, once for all programs; the command recall used one of its own.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -7,7 +7,7 @@
 
 use doorgrade_fleet::instance::{Check, Exit};
 use doorgrade_fleet::{Do, Fleet, Line, Process, Run};
-use doorgrade_stream::now;
+use doorgrade_stream::clock::now;
 use rustix::process::Signal;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -6,7 +6,7 @@
 use doorgrade_fleet::Fleet;
 use doorgrade_operator::agent::Agent;
 use doorgrade_operator::files::beside;
-use doorgrade_stream::now;
+use doorgrade_stream::clock::now;
 use tokio::sync::mpsc;
 
 use crate::core::{Core, Event, Place};
--- a/crates/cli/src/config/show.rs
+++ b/crates/cli/src/config/show.rs
@@ -1,7 +1,7 @@
 //! What the service knows, as tables for people and JSON for scripts.
 
 use doorgrade_control::ask::Asker;
-use doorgrade_stream::now;
+use doorgrade_stream::clock::now;
 use doorgrade_versions::Id;
 use doorgrade_versions::service::{
     Answer, Ask, ChangeRow, ChangeState, Filter, Progress, Row, State, Totals,
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -9,7 +9,7 @@
 use doorgrade_agent::serve::Settings;
 use doorgrade_fleet::order::Progress;
 use doorgrade_fleet::{Order, Phase, What};
-use doorgrade_stream::now;
+use doorgrade_stream::clock::now;
 use indicatif::{ProgressBar, ProgressStyle};
 use serde_json::{Value, json};
 
--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -5,7 +5,7 @@
 use clap::Subcommand;
 use doorgrade_keys::make::{self, Pair};
 use doorgrade_keys::{Dated, dates};
-use doorgrade_stream::now;
+use doorgrade_stream::clock::now;
 use serde_json::{Value, json};
 
 use crate::table::columns;
--- a/crates/cli/src/recall.rs
+++ b/crates/cli/src/recall.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::Subcommand;
 use doorgrade_control_client::memory::{Remembers, read};
 use doorgrade_operator::files;
 use doorgrade_recall::{Memory, Snapshot, Source};
 use doorgrade_store::{Records, Trouble};
+use doorgrade_stream::clock::now;
 use serde_json::json;
 
 use crate::{End, neighbours, say};
@@ -28,11 +28,6 @@
     },
 }
 
-fn now() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    (since.as_micros() / 100) as u64
-}
-
 fn asked(front: &str, r: &Remembers, json: bool) -> String {
     if json {
         let told = json!({"front": front, "own": r.own, "snapshot": r.snapshot, "neighbours": r.neighbours,
--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -11,7 +11,6 @@
 //! runtime can drive. Nothing here knows of clients; what the instance must do is handed in as a trait or a callback.
 #![forbid(unsafe_code)]
 
-pub mod clock;
 pub mod configuration;
 pub mod memory;
 pub mod neighbours;
@@ -20,8 +19,9 @@
 
 use doorgrade_hierarchy::homes::Kept;
 use doorgrade_recall::{Fill, Purge};
+pub use doorgrade_stream::clock;
 
-/// What an instance has seen itself, for whoever remembers it. Times are the system's.
+/// What an instance has seen itself, for whoever remembers it. Times are those of [`clock`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum Learned {
     Fill(Fill),
--- a/crates/control-client/src/memory.rs
+++ b/crates/control-client/src/memory.rs
@@ -167,8 +167,6 @@
         self.found.clone()
     }
 
-    /// Times of what is remembered are of the clock that caches and neighbours have, too: it may be set back, and what it
-    /// then shows to be to come is dropped. All else goes by a clock that never goes back, which is handed in.
     pub fn saw(&mut self, seen: &[Learned]) {
         let now = clock::now();
         self.changed |= !seen.is_empty();
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use doorgrade_store::ServiceStore;
-use doorgrade_stream::now;
+use doorgrade_stream::clock::now;
 use doorgrade_versions::Id;
 use doorgrade_versions::message::{ToFront, ToService};
 use doorgrade_versions::service::{Answer, Ask, Conn, Do, Line, Role, SavedTrials, Service, Version};
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -115,7 +115,7 @@
         // As a front's own: the files are read anew, with the version over them.
         let read = self.place.read()?.overlaid(version);
         let _renewal = self.first.renewal(read);
-        let at = doorgrade_stream::now();
+        let at = doorgrade_stream::clock::now();
         self.record.applied.lock().unwrap_or_else(PoisonError::into_inner).push((*id, at));
         Ok(())
     }
--- a/crates/lab/src/scale/rollouts.rs
+++ b/crates/lab/src/scale/rollouts.rs
@@ -15,7 +15,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use doorgrade_stream::now;
+use doorgrade_stream::clock::now;
 use doorgrade_versions::Tenths;
 use doorgrade_versions::service::{Answer, Ask, Line};
 
--- a/crates/lab/src/stream.rs
+++ b/crates/lab/src/stream.rs
@@ -247,7 +247,7 @@
     figures.put("whole_bytes", first_text.len());
     figures.ratio("whole_everywhere_s", begun.elapsed().as_secs_f64());
     let second_text = content(100, "info", "draining", "");
-    let (at, begun) = (doorgrade_stream::now(), Instant::now());
+    let (at, begun) = (doorgrade_stream::clock::now(), Instant::now());
     let second = lab.publish(&mut asker, &second_text)?;
     lab.until(&mut asker, "the second version", |t| t.current as usize == all && t.base == Some(second))?;
     figures.ratio("line_everywhere_s", begun.elapsed().as_secs_f64());
--- a/crates/control-client/src/clock.rs
+++ b/crates/stream/src/clock.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use doorgrade::Tenths;
+use doorgrade_versions::Tenths;
 
 /// By how much this process is to take the wall clock for off, in tests.
 static OFF: AtomicI64 = AtomicI64::new(0);
--- a/crates/stream/src/follow.rs
+++ b/crates/stream/src/follow.rs
@@ -21,8 +21,9 @@
 use tokio_rustls::TlsConnector;
 use tokio_rustls::client::TlsStream;
 
+use crate::clock::now;
 use crate::wire::{Ended, Reader, Writer};
-use crate::{FRONTS, MOST_WITH_CONTENT, now};
+use crate::{FRONTS, MOST_WITH_CONTENT};
 
 type Stream = TlsStream<TcpStream>;
 
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -3,15 +3,16 @@
 //! A connection is opened with one of two protocol names (ALPN), which carry the version of the wire: `FRONTS`
 //! between a front and the service, `OPERATORS` between a person's command and the service. A frame is four bytes
 //! of length, the greatest first, and a message in `postcard`'s form. Whoever breaks this is cut off.
+//!
+//! The clock that all programs of this project go by is here, too: what they tell each other is in its times.
 #![forbid(unsafe_code)]
 
+pub mod clock;
 pub mod follow;
 pub mod frame;
 pub mod wire;
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
-use doorgrade_versions::{MOST_CONTENT, Tenths};
+use doorgrade_versions::MOST_CONTENT;
 
 pub const FRONTS: &[u8] = b"doorgrade-versions/1";
 pub const OPERATORS: &[u8] = b"doorgrade-operators/1";
@@ -22,9 +23,3 @@
 pub const MOST_WORD: usize = 64 << 10;
 /// The longest message with a content in it; a change of one can be a little longer than the content it makes.
 pub const MOST_WITH_CONTENT: usize = MOST_CONTENT + (4 << 20);
-
-/// The system's clock; where that is before 1970, 1970.
-pub fn now() -> Tenths {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_micros() / 100).unwrap_or(u64::MAX)
-}
--- a/crates/stream/src/wire.rs
+++ b/crates/stream/src/wire.rs
@@ -9,8 +9,8 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::time::timeout;
 
+use crate::clock::now;
 use crate::frame::{Broken, Frames, frame};
-use crate::now;
 
 /// Why a connection is of no further use.
 #[derive(Debug)]
