A connection that this machine can't make counts against no cache

Cause: of the errors of socket and connect, ENETUNREACH, ENETDOWN, EAGAIN and EINTR were taken for the cache's refusal, and it was left alone for 250 ms or longer. Change: they mean that nobody was asked (conn.rs, failed_here), as EMFILE and the like did; the attempt was never sent.

--- a/crates/cli/tests/failing_calls.rs
+++ b/crates/cli/tests/failing_calls.rs
@@ -6,7 +6,7 @@
 
 use doorgrade_standins::client::Asked;
 use doorgrade_standins::shim::{Fault, Seen, Shim};
-use doorgrade_standins::{Client, Directory, Feed, Held, Member, Role, Spec};
+use doorgrade_standins::{Client, Directory, Held, Member, Role, Spec};
 use helper::forced::{caches, config};
 use helper::{Launch, start, until};
 
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -145,6 +145,23 @@
     });
 }
 
+/// Whether a connection could not be made for want of something on this machine, a route included: the other side was
+/// not asked, and nothing is known of it.
+pub fn failed_here(error: &io::Error) -> bool {
+    const HERE: [i32; 9] = [
+        libc::EMFILE,
+        libc::ENFILE,
+        libc::ENOBUFS,
+        libc::ENOMEM,
+        libc::EADDRNOTAVAIL,
+        libc::EAGAIN,
+        libc::EINTR,
+        libc::ENETDOWN,
+        libc::ENETUNREACH,
+    ];
+    error.raw_os_error().is_some_and(|number| HERE.contains(&number))
+}
+
 /// A connection that is up, and what its port asks for.
 pub struct Open {
     stream: Arc<Stream>,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -43,6 +43,8 @@
     clock::heed_tests();
     // One core is told; a coroutine reads and writes through rings on the heap, so small stacks do.
     may::config().set_workers(1).set_stack_size(0x1000);
+    // Bound to the first core, the workers of all fronts on a machine would share it, whatever others are free.
+    may::config().set_worker_pin(false);
     let (events, happened) = channel();
     // Before anything else: a version that is kept is what this start runs.
     let stored =
@@ -283,9 +285,7 @@
             }
             Event::Connected(conn, Err(error)) => {
                 tracing::debug!("connection {conn} failed: {error}");
-                let own = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM, libc::EADDRNOTAVAIL];
-                let own = error.raw_os_error().is_some_and(|e| own.contains(&e));
-                Input::Connected(conn, if own { Made::NoMeans } else { Made::Refused })
+                Input::Connected(conn, if conn::failed_here(&error) { Made::NoMeans } else { Made::Refused })
             }
             Event::Read { conn, ring, ended, at } => {
                 self.heard = Some(conn);
