--- a/crates/cli/tests/closing.rs
+++ b/crates/cli/tests/closing.rs
@@ -243,3 +243,30 @@
     drop(pipe);
     std::fs::remove_file(&front.config).unwrap();
 }
+
+/// Every place is owed an answer when the front is told to end, and further clients have written requests on connections that
+/// the machine has accepted and the front has not. The listener was shut over them, and reset them.
+#[test]
+fn requests_that_wait_to_be_accepted_as_the_front_ends_are_answered() {
+    let (_directory, [one, two, origin], feed) = caches();
+    let sockets = ("\"sockets\": 1024", "\"sockets\": 64");
+    let mut front = start(&config([&one.at, &two.at, &origin.at, &feed.at], &[sockets]), None);
+    origin.gate().shut(true);
+    let places = 64 / 3 + 4;
+    let hang = |n: usize| {
+        let mut client = Client::connect(front.at).unwrap();
+        let key = format!("{n:016x}");
+        client.send_access(&Asked { wait_ms: 60_000, ..order(&key) }).unwrap();
+        client
+    };
+    let mut busy: Vec<_> = (0..places).map(hang).collect();
+    let mut waiting: Vec<_> = (places..places + 10).map(hang).collect();
+    until("they wait at the origin", || origin.gate().waiting() > places / 2);
+    front.signal("-TERM");
+    for client in busy.iter_mut().chain(&mut waiting) {
+        let (head, _) = client.receive().expect("an answer");
+        assert!(head.starts_with("Status: 50"), "{head}");
+    }
+    assert!(ended(&mut front, Duration::from_secs(1)).success());
+    origin.gate().shut(false);
+}
