The listener is shut only once its queue is empty, whoever holds the places

Cause: accept.rs, `shut && (full || !comes)`: with every place taken the queue was given up with what had been written there. Change: what waits in the queue is taken in as places come free, 1,024 at the most, then the listener goes. A look at the queue that fails (poll) was taken for an empty queue, and the next connection waited for one more; it is made again now (by reading; the call can't be made to fail from outside).

--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -20,6 +20,11 @@
 /// most) and 0.7 s. Half as long again; whoever waits for this start is to hear of an address that stays taken.
 const TRIES: usize = 60;
 const BETWEEN: Duration = Duration::from_millis(100);
+/// How soon it is looked again whether there is a place, and what has failed is tried again.
+const FULL: Duration = Duration::from_millis(2);
+const FAILED: Duration = Duration::from_millis(5);
+/// Connections that may wait in the system's queue when no more are to come.
+const MOST_AFTER_END: usize = 1_024;
 
 fn bind(on: SocketAddr) -> std::io::Result<TcpListener> {
     for tried in 0..TRIES {
@@ -76,10 +81,11 @@
     }
 }
 
-/// Whether a connection waits to be accepted: `accept` itself could be ended by nothing but a connection.
-fn comes(listener: &TcpListener) -> bool {
+/// Whether a connection waits to be accepted: `accept` itself could be ended by nothing but a connection. Fails where the
+/// system does not tell.
+fn comes(listener: &TcpListener) -> std::io::Result<bool> {
     let mut asked = [PollFd::new(listener.inner(), PollFlags::IN)];
-    poll(&mut asked, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|ready| ready > 0)
+    Ok(poll(&mut asked, Some(&Timespec { tv_sec: 0, tv_nsec: 0 }))? > 0)
 }
 
 /// Listens, and reports each connection as it comes up, until the listener is closed.
@@ -88,45 +94,71 @@
     let local = listener.local_addr()?;
     let (most, shut) = (Arc::new(AtomicUsize::new(most)), Arc::new(AtomicBool::new(false)));
     let acceptor = Acceptor { local, waker: listener.waker(), most: most.clone(), shut: shut.clone() };
-    let open = Arc::new(AtomicUsize::new(0));
-    conn::spawn(move || {
-        let mut next = FIRST;
+    let open = Arc::default();
+    let queue = Queue { listener, next: FIRST, open, most, shut, left: MOST_AFTER_END, events };
+    conn::spawn(move || queue.run());
+    Ok(acceptor)
+}
+
+/// The system's queue of connections, as it is emptied.
+struct Queue {
+    listener: TcpListener,
+    next: ConnId,
+    open: Arc<AtomicUsize>,
+    most: Arc<AtomicUsize>,
+    shut: Arc<AtomicBool>,
+    /// So many are still taken in once no more are to come.
+    left: usize,
+    events: Sender<Event>,
+}
+
+impl Queue {
+    /// Until the listener is to be closed and what had come before is taken in: a request may have been written there.
+    fn run(mut self) {
         loop {
-            let full = open.load(Ordering::SeqCst) >= most.load(Ordering::SeqCst);
-            let comes = comes(&listener);
-            if shut.load(Ordering::SeqCst) && (full || !comes) {
-                break;
-            } else if comes && full {
-                may::coroutine::sleep(Duration::from_millis(2));
-                continue;
-            } else if !comes {
-                listener.wait_io();
-                continue;
-            }
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    let (conn, events, held) = (next, events.clone(), Descriptor::new(&open));
-                    next += 1;
-                    let (port, open) = conn::open(stream);
-                    // From here, not from its coroutine: nothing comes after the word that the listener is closed.
-                    let _ = events.send(Event::Accepted(conn, port));
-                    conn::spawn(move || {
-                        open.serve(conn, &events);
-                        drop(held);
-                    });
+            let shut = self.shut.load(Ordering::SeqCst);
+            match comes(&self.listener) {
+                Ok(false) if shut => break,
+                Ok(false) => {
+                    self.listener.wait_io();
                 }
-                Err(e) => {
-                    let means = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
-                    if e.raw_os_error().is_some_and(|e| means.contains(&e)) {
-                        let _ = events.send(Event::NoMeans);
-                    }
-                    // Else a client that is gone again.
-                    may::coroutine::sleep(Duration::from_millis(5));
+                Ok(true) if shut && self.left == 0 => break,
+                Ok(true) if self.full() => may::coroutine::sleep(FULL),
+                Ok(true) => {
+                    self.left -= usize::from(shut);
+                    self.accept();
                 }
+                Err(_) => may::coroutine::sleep(FAILED),
             }
         }
+        let Queue { listener, events, .. } = self;
         drop(listener);
         let _ = events.send(Event::ListenerClosed);
-    });
-    Ok(acceptor)
+    }
+
+    fn full(&self) -> bool {
+        self.open.load(Ordering::SeqCst) >= self.most.load(Ordering::SeqCst)
+    }
+
+    fn accept(&mut self) {
+        let stream = match self.listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                if conn::failed_here(&e) {
+                    let _ = self.events.send(Event::NoMeans);
+                }
+                // Else a client that is gone again.
+                return may::coroutine::sleep(FAILED);
+            }
+        };
+        let (conn, events, held) = (self.next, self.events.clone(), Descriptor::new(&self.open));
+        self.next += 1;
+        let (port, open) = conn::open(stream);
+        // From here, not from its coroutine: nothing comes after the word that the listener is closed.
+        let _ = events.send(Event::Accepted(conn, port));
+        conn::spawn(move || {
+            open.serve(conn, &events);
+            drop(held);
+        });
+    }
 }
