A failing test: bytes that are no record close the connection over taken requests

Hypothesis 2 of the incident, ruled out as its cause, loses requests all the same: with a request in hand, a record that can't be read closes the client's connection at once (clients.rs, fastcgi::Broken).

--- a/crates/front/tests/clients.rs
+++ b/crates/front/tests/clients.rs
@@ -167,3 +167,19 @@
     let again = w.connecting().into_iter().map(|c| w.to(c)).rfind(|&port| port != 9092);
     assert_eq!(first, again, "the object's own cache is asked as before");
 }
+
+#[test]
+fn a_record_that_cannot_be_read_ends_its_connection_after_what_was_asked_before() {
+    let mut w = World::new(1, 128);
+    let client = w.client();
+    w.ask(client, 1, 1, 1, 5, 1_000);
+    // Begun before the bytes that make no sense, and never whole.
+    w.owe(client, &record(fastcgi::BEGIN_REQUEST, 2, &[0, 1, 1, 0, 0, 0, 0, 0], 0));
+    w.owe(client, &[9; 64]);
+    assert_eq!(w.clients(), 1, "an answer is owed");
+    // What it says from now on is of no use, but its end is heard.
+    w.owe(client, &request(3, "/do/images", &access(3, 2, 900), &[], 0));
+    w.serve();
+    assert_eq!(w.answer_of(1).map(|a| a.status), Some(200));
+    assert_eq!((w.answer_of(3), w.clients()), (None, 0));
+}
