Bytes that are no record end a connection after what was taken on it is answered

Change: as with a request that is too long, nothing more is read, requests that are not whole are forgotten, and the connection ends in order with the last answer (Intake::stop).

--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -69,7 +69,7 @@
     small: Vec<u8>,
     /// The connection is to be closed after what is open now.
     pub last: bool,
-    /// What still comes is of no use: the rest of a request that is too long.
+    /// What still comes is of no use: the rest of a request that is too long, or what follows bytes that are no record.
     pub deaf: bool,
 }
 
@@ -83,9 +83,16 @@
         self.open.len()
     }
 
-    /// Part of a request, or of a record, has come.
+    /// Part of a request, or of a record, has come, and the rest is waited for.
     pub fn unfinished(&self) -> bool {
-        self.decoder.inside() || self.open.values().any(Option::is_some)
+        !self.deaf && (self.decoder.inside() || self.open.values().any(Option::is_some))
+    }
+
+    /// Nothing that still comes is of use: the connection ends with what has come whole.
+    pub fn stop(&mut self) {
+        (self.last, self.deaf) = (true, true);
+        self.open.retain(|_, coming| coming.is_none());
+        self.small.clear();
     }
 
     /// The request has been answered, or needs no answer.
@@ -168,7 +175,8 @@
             };
             if to.len() + content.len() > most {
                 // Answered now: the rest may be a thousand times as long, or never end.
-                (*slot, self.last, self.deaf) = (None, true, true);
+                *slot = None;
+                self.stop();
                 return Some(Said::Unusable(piece.id, 413, "a request is too long"));
             } else if full {
                 // Nothing was pushed, so trying again is harmless.
--- a/crates/front/src/reasons.rs
+++ b/crates/front/src/reasons.rs
@@ -44,7 +44,7 @@
     /// The client has ended it, or it was lost on the way.
     Left,
     WriteFailed,
-    /// Something on it is no FastCGI.
+    /// Something on it is no FastCGI, or a request without end.
     Unreadable,
     /// It sends on and reads nothing.
     Flooding,
@@ -53,7 +53,7 @@
     Idle,
     /// It owes the rest of a request for too long.
     Unfinished,
-    /// The client asked for one request only, or sent one that is too long.
+    /// The client asked for one request only.
     LastRequest,
     /// Others need its place.
     Evicted,
@@ -68,7 +68,7 @@
         f.write_str(match self {
             ClientEnd::Left => "the client left",
             ClientEnd::WriteFailed => "a write failed",
-            ClientEnd::Unreadable => "a record can't be read",
+            ClientEnd::Unreadable => "what comes can't be read",
             ClientEnd::Flooding => "the client sends on and reads nothing",
             ClientEnd::NotReading => "the client does not read",
             ClientEnd::Idle => "idle",
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -93,8 +93,13 @@
                 }
                 Ok(None) => break,
                 Err(fastcgi::Broken) => {
-                    self.work.complain("a client's record can't be read");
-                    return self.drop_client(conn, ClientEnd::Unreadable);
+                    // What was taken before is answered; then the connection ends.
+                    client.intake.stop();
+                    let freed = after - client.intake.held();
+                    self.work.bodies = self.work.bodies.saturating_sub(freed);
+                    ring.clear();
+                    self.work.complain("a client's record can't be read: its connection ends");
+                    break;
                 }
             }
         }
@@ -240,7 +245,8 @@
     fn half_close_last(&mut self, conn: ConnId) {
         let over = |c: &Client| c.last && c.intake.open() == 0 && c.outbox.is_empty() && c.out.is_some();
         if self.clients.get(&conn).is_some_and(over) {
-            self.half_close(conn, ClientEnd::LastRequest);
+            let deaf = self.clients.get(&conn).is_some_and(|c| c.intake.deaf);
+            self.half_close(conn, if deaf { ClientEnd::Unreadable } else { ClientEnd::LastRequest });
         }
     }
 
