Two failing tests: a store whose disk fails for a while

Terms: writes and syncs may fail for a while, and what was taken on is still owed. After one failed write redb takes nothing more until it is opened anew: the agent refuses every order from then on, though the disk is well again. Before that, it takes an order that it could not keep and says so to nobody.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -7,17 +7,21 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::time::Duration;
 
 use doorgrade_agent::process::{find, signal};
 use doorgrade_standins::client::Asked;
 use doorgrade_standins::ports::free_address;
-use doorgrade_standins::shim::{Fault, Shim};
+use doorgrade_standins::shim::{Fault, Seen, Shim};
 use doorgrade_standins::{Client, Directory, Feed, Member, Role, Spec};
 use helper::until;
 use rustix::process::Signal;
 use serde_json::Value;
 
 const FRONTS: usize = 6;
+/// Errors by their numbers.
+const NO_SPACE: i64 = nix::errno::Errno::ENOSPC as i64;
+const INPUT_OUTPUT: i64 = nix::errno::Errno::EIO as i64;
 
 struct Rig {
     folder: PathBuf,
@@ -250,3 +254,36 @@
     origin.gate().shut(false);
     until("it has stopped", || rig.states()[0] == "stopped");
 }
+
+/// Writes and syncs fail for a while, first under a running agent, then under one that starts.
+#[test]
+fn an_agent_whose_disk_fails_for_a_while_keeps_its_journal_and_goes_on() {
+    let mut rig = Rig::new("disk");
+    rig.done(&["start", "--all"]);
+    rig.shim.set(Fault::DiskErrno, NO_SPACE).unwrap();
+    let refused = rig.fleet(&["stop", "n1", "--no-wait"]);
+    assert!(!refused.status.success(), "what can't be kept is not taken on: {refused:?}");
+    assert_eq!(rig.states()[1], "ready");
+    rig.shim.set(Fault::DiskErrno, 0).unwrap();
+    rig.done(&["stop", "n1"]);
+
+    rig.kill_agent();
+    rig.shim.set(Fault::DiskErrno, INPUT_OUTPUT).unwrap();
+    let failed = rig.shim.seen(Seen::DiskFailed).unwrap();
+    rig.agent = Some(rig.agent_command().spawn().unwrap());
+    rig.shim.until(Seen::DiskFailed, failed + 1, Duration::from_secs(20)).unwrap();
+    std::thread::sleep(Duration::from_millis(500));
+    rig.shim.set(Fault::DiskErrno, 0).unwrap();
+    until("the agent answers", || rig.fleet(&["status", "--json"]).status.success());
+    let aside: Vec<_> = std::fs::read_dir(&rig.folder)
+        .unwrap()
+        .flatten()
+        .map(|file| file.file_name().to_string_lossy().into_owned())
+        .filter(|name| name.contains("damaged"))
+        .collect();
+    assert_eq!(aside, [""; 0], "a journal that could not be opened for a moment is no damaged one");
+    until("all are known again", || {
+        let states = rig.states();
+        states[1] == "stopped" && states.iter().filter(|s| *s == "ready").count() == FRONTS - 1
+    });
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -112,6 +112,11 @@
         })
     }
 
+    /// On a backend that can be had again.
+    pub fn reopening<B: StorageBackend>(open: impl Fn() -> Result<B, Trouble>) -> Result<Records, Trouble> {
+        Records::on(open()?)
+    }
+
     /// The store in a file. One that can't be opened is set aside, and the trouble told with the new one.
     pub fn open(path: &Path) -> Result<(Records, Option<Trouble>), Trouble> {
         let open = || {
--- a/crates/store/tests/crashes.rs
+++ b/crates/store/tests/crashes.rs
@@ -192,6 +192,26 @@
     assert_eq!(again.load().0.good, Some((id_two, SEAL, two)));
 }
 
+/// The store's own code takes nothing more after one failed write or sync, until it is opened anew.
+#[test]
+fn a_store_whose_disk_failed_for_a_while_is_written_and_read_again() {
+    let disk = Disk::default();
+    let of = disk.clone();
+    let store = FrontStore::new(Records::reopening(move || Ok(of.clone())).unwrap());
+    let (one, two) = (content("one"), content("two"));
+    let (id_one, id_two) = (Id::of(1, 1, &one), Id::of(1, 2, &two));
+    store.keep(id_one, SEAL, &one).unwrap();
+    for round in 0..3 {
+        *disk.full.lock().unwrap() = true;
+        assert!(matches!(store.keep(id_two, SEAL, &two), Err(Trouble::Failed(_))), "{round}");
+        assert!(matches!(store.keep(id_two, SEAL, &two), Err(Trouble::Failed(_))), "{round}: tried again");
+        *disk.full.lock().unwrap() = false;
+        assert_eq!(store.load().0.good, Some((id_one, SEAL, one.clone())), "{round}");
+    }
+    store.keep(id_two, SEAL, &two).unwrap();
+    assert_eq!(store.load().0.good, Some((id_two, SEAL, two)));
+}
+
 #[test]
 fn a_file_that_is_no_store_is_set_aside_and_told() {
     let folder = std::env::temp_dir().join(format!("doorgrade-store-{}", std::process::id()));
