A store whose disk fails for a while is opened anew, and is not taken for damaged

Cause: redb takes nothing after a failed write or sync until it is opened again, and nobody did; Records::open set any store aside that could not be opened, as on a disk that fails for a moment; the agent told an order's number before the order was kept. A service does not begin anew where its history can't be read now.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use doorgrade_fleet::instance::{Check, Exit};
-use doorgrade_fleet::{Do, Fleet, Line, Process, Run};
+use doorgrade_fleet::instance::{Check, Exit, Kept};
+use doorgrade_fleet::{Do, Fleet, Line, Process, Refused, Run};
 use doorgrade_stream::clock::now;
 use rustix::process::Signal;
 use tokio::sync::{mpsc, oneshot};
@@ -42,12 +42,16 @@
     pub events: mpsc::Sender<Event>,
     pub watchers: Vec<mpsc::Sender<Arc<Line>>>,
     pub wake: Option<u64>,
+    /// What the journal did not take, by instance: it is owed, and tried again.
+    pub unkept: BTreeMap<Box<str>, Kept>,
     /// Not children of this agent: their ends are looked for.
     pub adopted: BTreeMap<Process, Box<str>>,
 }
 
 /// How often the ends of processes are looked for that are not this agent's children.
 const LOOK_EACH: Duration = Duration::from_millis(200);
+/// How often what the journal did not take is tried again.
+const KEEP_EACH: Duration = Duration::from_millis(500);
 const MOST_WATCHERS: usize = 64;
 pub const MOST_LINES: usize = 1_024;
 
@@ -65,6 +69,8 @@
         self.perform(first);
         let mut look = tokio::time::interval(LOOK_EACH);
         look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut keep = tokio::time::interval(KEEP_EACH);
+        keep.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let wait = self
                 .wake
@@ -83,6 +89,7 @@
                         }
                     }
                 }
+                _ = keep.tick(), if !self.unkept.is_empty() => self.keep_again(),
                 () = sleep(wait) => {
                     if self.wake.is_some_and(|at| now() >= at) {
                         self.wake = None;
@@ -124,9 +131,16 @@
         match ask {
             Ask::Status => Answer::Status(self.status()),
             Ask::Plan(order) => self.fleet.plan(&order).map_or_else(Answer::Refused, Answer::Plan),
-            Ask::Order(order) => {
-                self.fleet.order(now(), &order, out).map_or_else(Answer::Refused, Answer::Ordered)
-            }
+            Ask::Order(order) => match tokio::task::block_in_place(|| self.journal.check()) {
+                Ok(()) => {
+                    if self.unkept.is_empty() {
+                        self.fleet.kept();
+                    }
+                    self.fleet.order(now(), &order, out).map_or_else(Answer::Refused, Answer::Ordered)
+                }
+                // Taken on, it would be lost with this agent.
+                Err(trouble) => Answer::Refused(Refused::NotKept(trouble.to_string().into())),
+            },
             Ask::Progress(number) => Answer::Progress(self.fleet.progress(number)),
             Ask::History => {
                 let all: Vec<u64> = self.fleet.orders().rev().collect();
@@ -162,15 +176,7 @@
             let mut out = Vec::new();
             for each in todo {
                 match each {
-                    Do::Keep(name, kept) => {
-                        match tokio::task::block_in_place(|| self.journal.keep(&name, &kept)) {
-                            Ok(()) => self.fleet.kept(),
-                            Err(trouble) => {
-                                tracing::error!("journal: {trouble}");
-                                self.fleet.not_kept(now(), &name, &trouble.to_string(), &mut out);
-                            }
-                        }
-                    }
+                    Do::Keep(name, kept) => self.keep(name, kept, &mut out),
                     Do::Start { name, run } => {
                         let made = self.start(&name, run);
                         self.fleet.started(now(), &name, run, made, &mut out);
@@ -193,6 +199,32 @@
         }
     }
 
+    fn keep(&mut self, name: Box<str>, kept: Kept, out: &mut Vec<Do>) {
+        match tokio::task::block_in_place(|| self.journal.keep(&name, &kept)) {
+            Ok(()) => {
+                self.unkept.remove(&name);
+                if self.unkept.is_empty() {
+                    self.fleet.kept();
+                }
+            }
+            Err(trouble) => {
+                tracing::error!("journal: {trouble}");
+                self.fleet.not_kept(now(), &name, &trouble.to_string(), out);
+                self.unkept.insert(name, kept);
+            }
+        }
+    }
+
+    fn keep_again(&mut self) {
+        let journal = &self.journal;
+        let keep = |name: &str, kept: &Kept| tokio::task::block_in_place(|| journal.keep(name, kept));
+        self.unkept.retain(|name, kept| keep(name, kept).is_err());
+        if self.unkept.is_empty() {
+            tracing::info!("journal: all that was owed is kept");
+            self.fleet.kept();
+        }
+    }
+
     fn start(&mut self, name: &str, run: Run) -> Result<Process, Box<str>> {
         let place = self.places.get(name).ok_or("it is in the settings no more")?;
         let why = |e: std::io::Error| -> Box<str> { format!("{}: {e}", place.spec.program.display()).into() };
--- a/crates/agent/src/journal.rs
+++ b/crates/agent/src/journal.rs
@@ -49,6 +49,11 @@
         self.records.write(&[(key, payload)], &[])
     }
 
+    /// Whether it can be written now.
+    pub fn check(&self) -> Result<(), Trouble> {
+        self.put("term", &self.term)
+    }
+
     pub fn keep(&self, name: &str, kept: &Kept) -> Result<(), Trouble> {
         self.put(&key(name), kept)
     }
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -92,6 +92,7 @@
         events: events.clone(),
         watchers: Vec::new(),
         wake: None,
+        unkept: BTreeMap::new(),
         adopted: BTreeMap::new(),
     };
     let doors = tokio::spawn(door::serve(listener, events.clone(), settings.agent.viewers.clone()));
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -120,8 +120,10 @@
         }
         let store = ServiceStore::new(records);
         let (found, troubles) = store.load();
-        if let Some(newer) = troubles.iter().find(|t| matches!(t, Trouble::Newer { .. })) {
-            return Err(format!("{}: {newer}", settings.store().display()));
+        // A history that can't be read now is not a history that is lost: beginning anew would end it.
+        let unread = |t: &&Trouble| matches!(t, Trouble::Newer { .. } | Trouble::Failed(_));
+        if let Some(trouble) = troubles.iter().find(unread) {
+            return Err(format!("{}: {trouble}", settings.store().display()));
         }
         troubles.iter().for_each(|trouble| tracing::error!("{trouble}"));
         let mut out = Vec::new();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,29 +2,27 @@
 //! transaction or nothing of it. On top of that each record has a checksum of its own (`blake3`), since a disk may
 //! give back other bytes than it was given, and a format number, so that an upgrade reads what was written before.
 //!
-//! A store that can't be opened, or is damaged, is set aside under another name and begun anew; whoever opens it is
-//! told. A full disk fails a write and nothing else. A store is opened by one process at a time.
+//! A store that is damaged is set aside under another name and begun anew; whoever opens it is told. A disk that fails for
+//! a while, or is full, fails what is asked meanwhile and nothing else. A store is opened by one process at a time.
 #![forbid(unsafe_code)]
 
+mod records;
+
 use std::fmt;
-use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use doorgrade_versions::seal::Seal;
 use doorgrade_versions::service::{Found as ServiceFound, Saved, SavedTrials, Version};
 use doorgrade_versions::{Id, front};
-use redb::{Database, ReadableDatabase, StorageBackend, TableDefinition};
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
-const RECORDS: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("records");
-/// Of the records in this table. A later one reads earlier ones.
-const FORMAT: u8 = 1;
+pub use records::Records;
+use records::{FORMAT, failed};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Trouble {
-    /// The store could not be opened; it was set aside under this name, and is begun anew.
+    /// The store was damaged; it was set aside under this name, and is begun anew.
     SetAside(PathBuf, Box<str>),
     /// One record is not what was written; it counts as not there.
     Damaged(Box<str>),
@@ -32,7 +30,9 @@
     Newer { key: Box<str>, format: u8 },
     /// Another process has it open; it is left alone.
     InUse,
-    /// It could not be read or written.
+    /// What is in its file is no store, or one in pieces.
+    Unreadable(Box<str>),
+    /// It could not be read or written now; the disk fails, or is full.
     Failed(Box<str>),
 }
 
@@ -51,6 +51,7 @@
                  {FORMAT}: start that release, or move the store's file away"
             ),
             Trouble::InUse => f.write_str("the store is open in another process"),
+            Trouble::Unreadable(why) => write!(f, "the store's file is damaged: {why}"),
             Trouble::Failed(why) => write!(f, "the store: {why}"),
         }
     }
@@ -58,153 +59,6 @@
 
 impl std::error::Error for Trouble {}
 
-fn failed(why: impl fmt::Display) -> Trouble {
-    Trouble::Failed(why.to_string().into())
-}
-
-/// A damaged file may lead the store's own code astray; that must not end the program.
-fn guarded<T>(run: impl FnOnce() -> Result<T, Trouble>) -> Result<T, Trouble> {
-    catch_unwind(AssertUnwindSafe(run)).unwrap_or_else(|_| Err(failed("its file is damaged")))
-}
-
-fn seal(payload: &[u8]) -> Vec<u8> {
-    let mut record = vec![FORMAT];
-    record.extend_from_slice(blake3::hash(payload).as_bytes());
-    record.extend_from_slice(payload);
-    record
-}
-
-fn unseal<'a>(key: &str, record: &'a [u8]) -> Result<&'a [u8], Trouble> {
-    let damaged = || Trouble::Damaged(key.into());
-    let (&format, rest) = record.split_first().ok_or_else(damaged)?;
-    if format > FORMAT {
-        return Err(Trouble::Newer { key: key.into(), format });
-    }
-    let (sum, payload) = rest.split_at_checked(32).ok_or_else(damaged)?;
-    let whole = format == FORMAT && blake3::hash(payload).as_bytes() == sum;
-    if whole { Ok(payload) } else { Err(damaged()) }
-}
-
-/// Records by name.
-pub struct Records(Option<Database>);
-
-impl Drop for Records {
-    /// A damaged store may fail only when it is closed.
-    fn drop(&mut self) {
-        let database = self.0.take();
-        let _ = catch_unwind(AssertUnwindSafe(|| drop(database)));
-    }
-}
-
-impl Records {
-    fn database(&self) -> Result<&Database, Trouble> {
-        self.0.as_ref().ok_or_else(|| failed("is closed"))
-    }
-
-    pub fn on(backend: impl StorageBackend) -> Result<Records, Trouble> {
-        guarded(|| {
-            let database = Database::builder().create_with_backend(backend).map_err(failed)?;
-            // So that a read finds a table, even an empty one.
-            let begun = database.begin_write().map_err(failed)?;
-            begun.open_table(RECORDS).map_err(failed)?;
-            begun.commit().map_err(failed)?;
-            Ok(Records(Some(database)))
-        })
-    }
-
-    /// On a backend that can be had again.
-    pub fn reopening<B: StorageBackend>(open: impl Fn() -> Result<B, Trouble>) -> Result<Records, Trouble> {
-        Records::on(open()?)
-    }
-
-    /// The store in a file. One that can't be opened is set aside, and the trouble told with the new one.
-    pub fn open(path: &Path) -> Result<(Records, Option<Trouble>), Trouble> {
-        let open = || {
-            guarded(|| {
-                let mut options = std::fs::OpenOptions::new();
-                let file = options.read(true).write(true).create(true).truncate(false).open(path);
-                let file = file.map_err(failed)?;
-                let locked = redb::backends::FileBackend::new(file).map_err(|e| match e {
-                    redb::DatabaseError::DatabaseAlreadyOpen => Trouble::InUse,
-                    e => failed(e),
-                });
-                Records::on(locked?)
-            })
-        };
-        let why = match open() {
-            Ok(records) => return Ok((records, None)),
-            // Whoever has it would go on in a file that is set aside.
-            Err(Trouble::InUse) => return Err(Trouble::InUse),
-            Err(why) => why,
-        };
-        let aside = (1..100).map(|n| path.with_extension(format!("damaged-{n}"))).find(|p| !p.exists());
-        let aside = aside.ok_or_else(|| failed("a hundred damaged stores lie beside it"))?;
-        std::fs::rename(path, &aside).map_err(failed)?;
-        Ok((open()?, Some(Trouble::SetAside(aside, why.to_string().into()))))
-    }
-
-    /// Puts and removes records, all or none.
-    pub fn write(&self, puts: &[(&str, Vec<u8>)], removes: &[&str]) -> Result<(), Trouble> {
-        guarded(|| {
-            let begun = self.database()?.begin_write().map_err(failed)?;
-            {
-                let mut table = begun.open_table(RECORDS).map_err(failed)?;
-                for key in removes {
-                    table.remove(key).map_err(failed)?;
-                }
-                for (key, payload) in puts {
-                    table.insert(key, seal(payload).as_slice()).map_err(failed)?;
-                }
-            }
-            begun.commit().map_err(failed)
-        })
-    }
-
-    pub fn read(&self, key: &str) -> Result<Option<Vec<u8>>, Trouble> {
-        guarded(|| {
-            let begun = self.database()?.begin_read().map_err(failed)?;
-            let table = begun.open_table(RECORDS).map_err(failed)?;
-            match table.get(key).map_err(failed)? {
-                None => Ok(None),
-                Some(record) => unseal(key, record.value()).map(|payload| Some(payload.to_vec())),
-            }
-        })
-    }
-
-    pub fn keys(&self, prefix: &str) -> Result<Vec<String>, Trouble> {
-        guarded(|| {
-            let begun = self.database()?.begin_read().map_err(failed)?;
-            let table = begun.open_table(RECORDS).map_err(failed)?;
-            let mut keys = Vec::new();
-            for entry in table.range(prefix..).map_err(failed)? {
-                let (key, _) = entry.map_err(failed)?;
-                if !key.value().starts_with(prefix) {
-                    break;
-                }
-                keys.push(key.value().to_owned());
-            }
-            Ok(keys)
-        })
-    }
-
-    /// A record as a value; what can't be read is told and left out.
-    fn value<T: DeserializeOwned>(&self, key: &str, troubles: &mut Vec<Trouble>) -> Option<T> {
-        let read = self.read(key).map(|payload| payload.map(|p| postcard::from_bytes(&p)));
-        match read {
-            Ok(None) => None,
-            Ok(Some(Ok(value))) => Some(value),
-            Ok(Some(Err(_))) => {
-                troubles.push(Trouble::Damaged(key.into()));
-                None
-            }
-            Err(trouble) => {
-                troubles.push(trouble);
-                None
-            }
-        }
-    }
-}
-
 fn payload(value: &impl Serialize) -> Result<Vec<u8>, Trouble> {
     postcard::to_stdvec(value).map_err(failed)
 }
