A failing test: the service acknowledges a stop that its disk did not take

A publication is stopped while writes fail: the command ends with 0, nothing is stored later, and the next start of the service goes on with the publication.

--- a/crates/cli/tests/helper/control.rs
+++ b/crates/cli/tests/helper/control.rs
@@ -1,5 +1,6 @@
 //! The service of versions as a process.
 
+use std::ffi::OsString;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -31,8 +32,19 @@
 pub const QUICK: &str = "  soak_ms = 50\n  answer_within_ms = 5000";
 
 pub fn control(place: &Place, at: &str, publication: &str) -> Control {
+    control_with(place, at, publication, Vec::new())
+}
+
+/// With further variables of its environment.
+pub fn control_with(
+    place: &Place,
+    at: &str,
+    publication: &str,
+    environment: Vec<(&str, OsString)>,
+) -> Control {
     let file = place.control(at, "127.0.0.1:0", publication).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_doorgrade"));
+    command.envs(environment);
     let mut process = command.arg("control").arg("--file").arg(file).stderr(Stdio::piped()).spawn().unwrap();
     let mut lines = BufReader::new(process.stderr.take().unwrap()).lines();
     let line = lines.by_ref().map_while(Result::ok).find(|l| l.contains("fronts at ")).expect("it starts");
--- a/crates/cli/tests/versions.rs
+++ b/crates/cli/tests/versions.rs
@@ -2,14 +2,16 @@
 
 mod helper;
 
+use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
 use doorgrade_standins::client::Asked;
 use doorgrade_standins::feed::record;
+use doorgrade_standins::shim::{Fault, Shim};
 use doorgrade_standins::versions::{Place, SERVICE};
 use doorgrade_standins::{Client, Directory, Feed, Member, Role, Spec};
-use helper::control::{Control, QUICK, control};
+use helper::control::{Control, QUICK, control, control_with};
 use helper::{Front, signal, start, until};
 use serde_json::Value;
 
@@ -72,9 +74,13 @@
 
 impl Rig {
     fn start(name: &str) -> Rig {
+        Rig::with(name, QUICK, Vec::new())
+    }
+
+    fn with(name: &str, publication: &str, environment: Vec<(&str, OsString)>) -> Rig {
         let place = Place::new(name).unwrap();
         place.issue("n1", &place.fronts, &["n1"], 30).unwrap();
-        let control = control(&place, "127.0.0.1:0", QUICK);
+        let control = control_with(&place, "127.0.0.1:0", publication, environment);
         let settings = settings(&place, &control);
         let directory = Directory::default();
         let member = |id, role| Member::start(Spec::new(id, "127.0.0.1:0", role), &directory).unwrap();
@@ -236,3 +242,37 @@
     rig.connected();
     assert_eq!(json(&config(&rig.settings, &["status", "--json"]))["last"], 2);
 }
+
+/// A publication is stopped while the service's disk fails. The word was acknowledged, and forgotten with the next death of
+/// the service, which went on with the publication.
+#[test]
+fn a_stop_that_could_not_be_stored_is_told_so_and_stored_when_the_disk_is_well() {
+    let shim = Shim::new(1).unwrap();
+    let soaking = "  soak_ms = 60000\n  answer_within_ms = 5000";
+    let mut rig = Rig::with("disk-fails", soaking, shim.environment().unwrap());
+    let _front = rig.front();
+    rig.connected();
+    rig.place.write("next.hcl", "log { level = \"debug\" }\n").unwrap();
+    let file = rig.place.file("next.hcl");
+    let published = config(&rig.settings, &["publish", file.to_str().unwrap(), "--no-wait", "--json"]);
+    assert!(published.status.success(), "{published:?}");
+    let running = || json(&config(&rig.settings, &["status", "--json"]))["publication"].clone();
+    until("it is on its way", || running().is_object());
+    let version = running()["version"].as_str().unwrap().to_owned();
+    let number = version.split(['.', '-']).nth(1).unwrap();
+
+    shim.set(Fault::DiskErrno, nix::errno::Errno::EIO as i64).unwrap();
+    let stop = config(&rig.settings, &["stop", number]);
+    assert!(!stop.status.success(), "it may be forgotten: {stop:?}");
+    assert_ne!(running()["stopped"], serde_json::Value::Null, "it has stopped all the same");
+    shim.set(Fault::DiskErrno, 0).unwrap();
+    until("it is stored", || rig.control.lines().iter().any(|line| line.contains("is stored now")));
+
+    let at = rig.control.fronts.to_string();
+    rig.control.process.kill().unwrap();
+    rig.control.process.wait().unwrap();
+    rig.control = control(&rig.place, &at, soaking);
+    rig.settings = settings(&rig.place, &rig.control);
+    let running = json(&config(&rig.settings, &["status", "--json"]))["publication"].clone();
+    assert_ne!(running["stopped"], serde_json::Value::Null, "{running}");
+}
