What the service has agreed to is owed to its store until that takes it

Cause: control/src/core.rs logged a failed put of state or trials and forgot it, after the answer was given. Change: the latest state and trials are kept and tried every half second until they are stored; versions that these may need are forgotten only then. A publication whose state is not stored is refused as one whose content is not; a stop that was not stored is told so.

--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -141,7 +141,10 @@
 fn refusal(answer: Answer) -> String {
     match answer {
         Answer::NotPublished(why) => format!("not published: {why}"),
-        Answer::NotStored(why) => format!("not published: it could not be stored: {why}"),
+        Answer::NotStored(why) => format!(
+            "it could not be stored: {why}: nothing was published; what was stopped has stopped, and may go on when the \
+             service starts anew"
+        ),
         Answer::Unsound(why) => format!("not published:\n{why}"),
         Answer::Denied(why) => why.to_string(),
         other => format!("the service: an answer to something else: {other:?}"),
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -8,7 +8,7 @@
 use doorgrade_stream::clock::now;
 use doorgrade_versions::Id;
 use doorgrade_versions::message::{ToFront, ToService};
-use doorgrade_versions::service::{Answer, Ask, Conn, Do, Line, Role, SavedTrials, Service, Version};
+use doorgrade_versions::service::{Answer, Ask, Conn, Do, Line, Role, Saved, SavedTrials, Service, Version};
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
@@ -52,9 +52,37 @@
 const MOST_LINES: usize = 1_024;
 const MOST_WATCHERS: usize = 64;
 
+/// How often what the store did not take is tried again.
+const STORE_EACH: Duration = Duration::from_millis(500);
+
+/// How far a publication is.
+struct State {
+    epoch: u64,
+    base: Option<u64>,
+    rollout: Option<Saved>,
+}
+
+/// What the store did not take yet, the latest of each.
+#[derive(Default)]
+struct Owed {
+    state: Option<State>,
+    trials: Option<SavedTrials>,
+    /// Not needed any more once the rest is stored.
+    spare: Vec<Id>,
+    /// Why it was not taken.
+    why: Option<Box<str>>,
+}
+
+impl Owed {
+    fn any(&self) -> bool {
+        self.state.is_some() || self.trials.is_some()
+    }
+}
+
 pub struct Core {
     service: Service,
     store: ServiceStore,
+    owed: Owed,
     conns: FxHashMap<Conn, mpsc::Sender<Say>>,
     watchers: Vec<mpsc::Sender<Arc<Line>>>,
     wake: Option<u64>,
@@ -104,12 +132,14 @@
 impl Core {
     pub fn new(service: Service, store: ServiceStore, first: Vec<Do>) -> Core {
         let (conns, watchers) = Default::default();
-        let mut core = Core { service, store, conns, watchers, wake: None };
+        let mut core = Core { service, store, owed: Owed::default(), conns, watchers, wake: None };
         core.perform(first);
         core
     }
 
     pub async fn run(mut self, mut events: mpsc::Receiver<Event>) {
+        let mut store = tokio::time::interval(STORE_EACH);
+        store.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let wait = self.wake.map(|at| Duration::from_micros(at.saturating_sub(now()) * 100));
             tokio::select! {
@@ -117,6 +147,7 @@
                     Some(Event::Stop) | None => return,
                     Some(event) => self.take(event),
                 },
+                _ = store.tick(), if self.owed.any() => self.store_owed(),
                 () = sleep(wait.unwrap_or(Duration::from_secs(3_600))) => {
                     if self.wake.is_some_and(|at| now() >= at) {
                         self.wake = None;
@@ -176,20 +207,33 @@
         let mut out = Vec::new();
         let sound = |content: &[u8]| doorgrade_operator::Version::sound("version", content).map(drop);
         let mut answer = self.service.asked(now(), role, ask, sound, &mut out);
-        if let Answer::Published(id) = &answer {
-            // What can't be stored is offered to nobody, and was never published.
-            let stored = out.iter().try_for_each(|each| match each {
-                Do::Store(version) => self.put(version),
-                Do::StoreTrials(trials) => self.put_trials(trials),
-                _ => Ok(()),
-            });
-            if let Err(why) = stored {
-                self.service.withdraw(*id);
-                (answer, out) = (Answer::NotStored(why), Vec::new());
+        match &answer {
+            Answer::Published(id) => {
+                // What can't be stored is offered to nobody, and was never published.
+                let stored = out.iter().try_for_each(|each| match each {
+                    Do::Store(version) => self.put(version),
+                    Do::StoreState { epoch, base, rollout } => self.put_state(*epoch, *base, rollout),
+                    Do::StoreTrials(trials) => self.put_trials(trials),
+                    _ => Ok(()),
+                });
+                if let Err(why) = stored {
+                    self.service.withdraw(*id);
+                    (answer, out) = (Answer::NotStored(why), Vec::new());
+                }
+                let stores =
+                    |each: &Do| matches!(each, Do::Store(_) | Do::StoreState { .. } | Do::StoreTrials(_));
+                out.retain(|each| !stores(each));
+                self.perform(out);
             }
-            out.retain(|each| !matches!(each, Do::Store(_) | Do::StoreTrials(_)));
+            Answer::Done => {
+                self.perform(out);
+                // It is done, and owed to the store; a death before then would undo it.
+                if let Some(why) = self.owed.why.clone() {
+                    answer = Answer::NotStored(why);
+                }
+            }
+            _ => self.perform(out),
         }
-        self.perform(out);
         if !what.is_empty() {
             match &answer {
                 Answer::Published(id) => tracing::info!(version = %id, "{who}: {what}: version {id}"),
@@ -207,11 +251,49 @@
         })
     }
 
-    fn put_trials(&self, trials: &SavedTrials) -> Result<(), Box<str>> {
-        tokio::task::block_in_place(|| self.store.put_trials(trials)).map_err(|trouble| {
+    /// With what was owed of it before.
+    fn put_state(&mut self, epoch: u64, base: Option<u64>, rollout: &Option<Saved>) -> Result<(), Box<str>> {
+        let put = tokio::task::block_in_place(|| self.store.put_state(epoch, base, rollout));
+        let put = put.map_err(|trouble| {
+            tracing::error!(epoch, "how far a publication is was not stored: {trouble}");
+            trouble.to_string().into()
+        });
+        self.owed.state = self.owed.state.take().filter(|_| put.is_err());
+        put
+    }
+
+    fn put_trials(&mut self, trials: &SavedTrials) -> Result<(), Box<str>> {
+        let put = tokio::task::block_in_place(|| self.store.put_trials(trials)).map_err(|trouble| {
             tracing::error!("how far trials are was not stored: {trouble}");
             trouble.to_string().into()
-        })
+        });
+        self.owed.trials = self.owed.trials.take().filter(|_| put.is_err());
+        put
+    }
+
+    /// Stores what is owed, the latest of each.
+    fn store_owed(&mut self) {
+        let before = self.owed.why.take();
+        let (store, owed) = (&self.store, &self.owed);
+        let stored = tokio::task::block_in_place(|| {
+            owed.state.iter().try_for_each(|s| store.put_state(s.epoch, s.base, &s.rollout))?;
+            owed.trials.iter().try_for_each(|trials| store.put_trials(trials))
+        });
+        match stored {
+            Ok(()) => {
+                std::mem::take(&mut self.owed).spare.iter().for_each(|id| self.forget(id));
+                if before.is_some() {
+                    tracing::info!("how far publications are is stored now");
+                }
+            }
+            Err(trouble) => {
+                let why: Box<str> = trouble.to_string().into();
+                if before.as_ref() != Some(&why) {
+                    tracing::error!("how far publications are was not stored: {why}");
+                }
+                self.owed.why = Some(why);
+            }
+        }
     }
 
     fn forget(&self, id: &Id) {
@@ -240,19 +322,24 @@
                 // The history under the numbers of a new epoch: nothing of it is offered before it is published anew.
                 Do::Store(version) => drop(self.put(&version)),
                 Do::StoreState { epoch, base, rollout } => {
-                    let put = tokio::task::block_in_place(|| self.store.put_state(epoch, base, &rollout));
-                    if let Err(trouble) = put {
-                        tracing::error!(epoch, "how far a publication is was not stored: {trouble}");
-                    }
+                    self.owed.state = Some(State { epoch, base, rollout });
+                    self.store_owed();
                 }
                 Do::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
                 Do::Tell(line) => self.tell(line),
-                Do::StoreTrials(trials) => drop(self.put_trials(&trials)),
+                Do::StoreTrials(trials) => {
+                    self.owed.trials = Some(trials);
+                    self.store_owed();
+                }
                 // Last: what is stored of trials may need it until it is replaced.
                 Do::Forget(id) => spare.push(id),
             }
         }
-        spare.iter().for_each(|id| self.forget(id));
+        if self.owed.any() {
+            self.owed.spare.append(&mut spare);
+        } else {
+            spare.iter().for_each(|id| self.forget(id));
+        }
         for conn in slow {
             if self.conns.remove(&conn).is_some() {
                 tracing::warn!("a front takes nothing of what it is told: cut off");
