A connection that has not rested carries no request, however short descriptors are

Cause: carry took a connection used within the last 20 ms where no descriptor was left, to be better than none. Change: the one idle longest makes room for a new one, as where none is kept.

--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -285,7 +285,8 @@
             (false, true) => Some(self.now.saturating_sub(self.idle / 4)),
             (false, false) => None,
         };
-        let rested = if full { self.now } else { self.now.saturating_sub(Pools::REST) };
+        // However short descriptors are: the second copy of an answer would pass for that to this request.
+        let rested = self.now.saturating_sub(Pools::REST);
         if let Some(conn) = lately.and_then(|since| self.pools.get(cache, since..=rested)) {
             self.send(conn, access, push);
             return Some(());
