A 304 counts only if it names the client's copy, or none

Cause: push.rs, outcome: (304, _) if had_tag. Change: the line keeps the tag that went with the request, and a 304 that names another is a broken answer.

--- a/crates/front/src/push.rs
+++ b/crates/front/src/push.rs
@@ -31,11 +31,13 @@
     }
 }
 
-/// What an answer proves. Without the mark that it never ran, it may have run.
-fn outcome(head: &Head, had_tag: bool) -> Outcome {
+/// What an answer proves. Without the mark that it never ran, it may have run. `have` is the client's own copy.
+fn outcome(head: &Head, have: Option<&str>) -> Outcome {
+    // An answer may be another request's: a copy that it names is current, and no other.
+    let names_it = have.is_some_and(|have| head.tag.as_deref().is_none_or(|named| named == have));
     match (head.status, head.not_begun) {
         (200, _) => Outcome::Handled,
-        (304, _) if had_tag => Outcome::Handled,
+        (304, _) if names_it => Outcome::Handled,
         (404, _) => Outcome::Miss,
         (503, true) => Outcome::Full,
         // The fill had come round in a ring, and was cut before anything was fetched.
@@ -71,7 +73,8 @@
     pub beginning: bool,
     /// It has carried a push before.
     pub kept: bool,
-    had_tag: bool,
+    /// The tag of the client's own copy, where the request has it.
+    have: Option<String>,
     head: Option<Head>,
     body: Vec<u8>,
     /// Waits for room for its answer's body.
@@ -101,15 +104,15 @@
             first: 0,
             beginning: false,
             kept: false,
-            had_tag: false,
+            have: None,
             head: None,
             body: Vec::new(),
             parked: None,
         }
     }
 
-    pub fn begin(&mut self, request: Vec<u8>, had_tag: bool) {
-        (self.state, self.request, self.sent, self.had_tag) = (State::Busy, request, 0, had_tag);
+    pub fn begin(&mut self, request: Vec<u8>, have: Option<String>) {
+        (self.state, self.request, self.sent, self.have) = (State::Busy, request, 0, have);
         (self.head, self.body, self.beginning) = (None, Vec::new(), true);
     }
 
@@ -185,7 +188,7 @@
         let unsent = self.sent < self.request.len();
         let Some(head) = self.head.take() else { return Progress::More };
         let got = Got {
-            outcome: outcome(&head, self.had_tag),
+            outcome: outcome(&head, self.have.as_deref()),
             note: head.note,
             status: head.status,
             tag: head.tag,
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -56,7 +56,7 @@
         tracing::trace!("request {:?}", String::from_utf8_lossy(&request));
         (sent.conn, sent.begun) = (Some(conn), true);
         line.carries = Some((access, push));
-        line.begin(request, taken.request.tag.is_some());
+        line.begin(request, taken.request.tag.clone());
         let awaits = Awaits { client: taken.client, hear_first: sent.put_off < MOST_PUT_OFF };
         if let Some(ring) = line.to_write() {
             self.effects.push(Effect::Begin(conn, ring, awaits));
