A failing test: a request is written however long ago it was handed over

The class once more: between the decision and the first byte lies the coroutines' thread, and nothing bounds how far it is behind. Held for 400 ms, it writes a request that tells 1.895 s where 1.495 s are left; a repeat could begin after its window, an attempt past a purge's grace.

--- a/crates/cli/tests/attempts.rs
+++ b/crates/cli/tests/attempts.rs
@@ -131,6 +131,44 @@
     );
 }
 
+/// The coroutines' thread is behind when a request is handed to it. It was written 400 ms later as it had been made, with the
+/// time that had been left then; likewise a repeat could begin after its window, or an attempt past the grace of a purge.
+#[test]
+fn a_request_that_was_handed_over_long_ago_is_made_anew_before_it_begins() {
+    let mut caches = [Cache::start(), Cache::start()];
+    let feed = Feed::start("127.0.0.1:0").unwrap();
+    let ([one, two], origin) = (caches.each_ref().map(|c| c.held.at), Held::start().unwrap());
+    let debug = ("\"log\": \"info\"", "\"log\": \"debug\"");
+    let config = config([&one, &two, &origin.at, &feed.at], &[debug]);
+    let shim = Shim::new(1).unwrap();
+    let front = Launch { environment: shim.environment().unwrap(), ..Launch::default() }.start(&config);
+    // The object's cache has a connection at rest.
+    let own = serve(&front, KEY, &mut caches);
+    std::thread::sleep(Duration::from_millis(50));
+    let mut client = Client::connect(front.at).unwrap();
+    assert!(client.check().unwrap());
+    // The request is read, and the main thread hears of it once the other one is held.
+    shim.set(Fault::HoldMain, 1).unwrap();
+    shim.until(Seen::MainHeld, 1, SOON).unwrap();
+    let received = shim.seen(Seen::Received).unwrap();
+    let request = client.send_access(&read(KEY)).unwrap();
+    let asked = Instant::now();
+    shim.until(Seen::Received, received + 1, SOON).unwrap();
+    shim.set(Fault::HoldIo, 1).unwrap();
+    shim.set(Fault::HoldMain, 0).unwrap();
+    until("it is decided on", || {
+        front.log().iter().any(|line| line.contains(&request) && line.contains("attempt=0"))
+    });
+    std::thread::sleep(Duration::from_millis(400));
+    shim.set(Fault::HoldIo, 0).unwrap();
+    until("its cache has it", || caches[own].asked().is_some());
+    let line = caches[own].asked().unwrap();
+    let head = caches[own].lines[line].request().unwrap().expect("a request");
+    let left = Duration::from_millis(read(KEY).wait_ms).saturating_sub(asked.elapsed());
+    let told = Duration::from_millis(head.number("call-ms"));
+    assert!(told <= left + SLACK, "{told:?} told, {left:?} left");
+}
+
 /// Has a request answered by the cache that gets it, and says which one that is.
 fn serve(front: &Front, key: &str, caches: &mut [Cache; 2]) -> usize {
     let mut client = Client::connect(front.at).unwrap();
