A request is made anew if it is not written within 25 ms of its making

Cause: nothing bounded the time between handing a request over and its first byte. The connection's coroutine may run late (a busy machine, a stopped process, a clock that was stepped has no part in it): the request then told a Call-Ms that had passed, and a purge or a drain heard in between was not heeded. Ruled out: the check before a request is made (it is made in time), the deadline of the push itself (it is longer).

Change: a request carries the time until which it may begin (`made_until`); the writer gives it back as stale, and the reducer makes it anew or ends it: past its time, or if its answer would be outdated.

--- a/crates/front/src/awaiting.rs
+++ b/crates/front/src/awaiting.rs
@@ -1,10 +1,12 @@
-//! Whether a client still waits for an answer, as far as the system knows: what it said last may not have been heard yet.
+//! Whether a request may still begin when its first byte is to be written: what it was made from may be over by then.
 
 use std::sync::Weak;
 use std::sync::atomic::Ordering;
 
+use doorgrade::Tenths;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
+use crate::clock;
 use crate::conn::{ConnId, Stream};
 use crate::reasons::Cut;
 
@@ -12,6 +14,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Awaits {
     pub client: ConnId,
+    /// From then on it is to be made anew: time has passed, and word may have come that it has to heed.
+    pub made_until: Tenths,
     /// What the client has said since may give the request up: it is to be heard first.
     pub hear_first: bool,
 }
@@ -28,8 +32,11 @@
         Awaiting { stream: Weak::new(), awaits }
     }
 
-    /// Why the request is not to begin; none where the client waits for it.
+    /// Why the request is not to begin; none where it is as fresh as it has to be and the client waits for it.
     pub fn objection(&self) -> Option<Cut> {
+        if clock::now() >= self.awaits.made_until {
+            return Some(Cut::Stale);
+        }
         let Some(stream) = self.stream.upgrade() else { return Some(Cut::ClientLeft) };
         let mut asked = [PollFd::new(stream.socket.inner(), PollFlags::IN | PollFlags::RDHUP)];
         let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
--- a/crates/front/src/reasons.rs
+++ b/crates/front/src/reasons.rs
@@ -18,6 +18,8 @@
     ClientLeft,
     /// The client for whom a request was to begin has said something that was not heard yet.
     Unheard,
+    /// The request that was to begin was made too long ago.
+    Stale,
 }
 
 impl Cut {
@@ -34,6 +36,7 @@
             Cut::SpokenOn => f.write_str("something had come on it"),
             Cut::ClientLeft => f.write_str("its client has left"),
             Cut::Unheard => f.write_str("its client has said something since"),
+            Cut::Stale => f.write_str("it was made too long ago"),
         }
     }
 }
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -170,7 +170,9 @@
                     self.drop_client(client, ClientEnd::Left);
                 }
             }
-            Input::Wrote { conn, ring, failed: Some(Cut::Unheard) } => self.work.begin_after_all(conn, ring),
+            Input::Wrote { conn, ring, failed: Some(why @ (Cut::Unheard | Cut::Stale)) } => {
+                self.work.begin_after_all(conn, ring, why == Cut::Unheard);
+            }
             Input::Wrote { conn, ring, failed } => self.work.line_wrote(conn, ring, failed),
             Input::HalfClosed(conn) => self.work.half_closed(conn),
             Input::Closed(conn) => self.closed(conn),
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -47,7 +47,7 @@
         let Some(taken) = self.accesses.get_mut(&access) else { return };
         let Some(sent) = taken.sent.get_mut(push) else { return };
         let Some(line) = self.lines.get_mut(&conn) else { return };
-        if taken.done || !sent.may_begin(self.now) {
+        if taken.done || sent.outdated || !sent.may_begin(self.now) {
             line.carries = None;
             self.pools.put(line.cache, conn, self.now);
             return self.end_push(access, push, Got::bare(Outcome::NeverSent));
@@ -57,7 +57,8 @@
         (sent.conn, sent.begun) = (Some(conn), true);
         line.carries = Some((access, push));
         line.begin(request, taken.request.tag.clone());
-        let awaits = Awaits { client: taken.client, hear_first: sent.put_off < MOST_PUT_OFF };
+        let (client, hear_first) = (taken.client, sent.put_off < MOST_PUT_OFF);
+        let awaits = Awaits { client, made_until: sent.made_until(self.now), hear_first };
         if let Some(ring) = line.to_write() {
             self.effects.push(Effect::Begin(conn, ring, awaits));
         }
@@ -77,15 +78,15 @@
         }
     }
 
-    /// The client for whom a request was to begin has said something: that has been heard by now, and may have ended the
-    /// request. If not, it begins on the same connection.
-    pub(super) fn begin_after_all(&mut self, conn: ConnId, mut ring: Ring) {
+    /// A request has not begun since its client has said something, which has been heard by now and may have ended it, or
+    /// since it was made too long ago. If it is still to begin, it is made anew, for the same connection.
+    pub(super) fn begin_after_all(&mut self, conn: ConnId, mut ring: Ring, unheard: bool) {
         let Some(line) = self.lines.get_mut(&conn) else { return };
         ring.clear();
         line.rest(ring, self.now);
         let Some((access, push)) = line.carries else { return };
         if let Some(sent) = self.accesses.get_mut(&access).and_then(|t| t.sent.get_mut(push)) {
-            (sent.begun, sent.put_off) = (false, sent.put_off + 1);
+            (sent.begun, sent.put_off) = (false, sent.put_off + u8::from(unheard));
         }
         self.send(conn, access, push);
     }
--- a/crates/front/src/reducer/sent.rs
+++ b/crates/front/src/reducer/sent.rs
@@ -7,6 +7,9 @@
 use crate::intake::Request;
 use crate::push;
 
+/// A request made longer ago is made anew: half of the shortest time by which anything may be late on sockets.
+const FRESH: Tenths = 250;
+
 pub(super) struct Sent {
     /// The cache and the source, by their numbers.
     pub(super) names: [Option<u32>; 2],
@@ -70,6 +73,11 @@
         now < self.begin_by && now < self.until
     }
 
+    /// Until when a request made now may begin.
+    pub(super) fn made_until(&self, now: Tenths) -> Tenths {
+        (now + FRESH).min(self.begin_by).min(self.until)
+    }
+
     /// The bytes for its cache. The time left is told as it is now: its connection may have taken long to come up.
     pub(super) fn request(&self, now: Tenths, of: &Request, via: Option<&str>) -> Vec<u8> {
         http::request(&Ask {
