The log is written by a thread of its own, which nobody waits for

Cause: lines went to standard error from whichever thread logged them; with a pipe that is not read the thread that serves waited in write. Seen: request 137 of 600 and all later ones unanswered at level debug. Ruled out: failed writes (a full disk and a reader that has gone passed before).

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -191,7 +191,12 @@
 }
 
 fn main() -> ExitCode {
-    let cli = Cli::parse();
+    let end = end(Cli::parse());
+    doorgrade_log::finish();
+    end
+}
+
+fn end(cli: Cli) -> ExitCode {
     let serves = matches!(cli.command, None | Some(Command::Serve));
     match run(cli) {
         Ok(end) => end.into(),
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -341,8 +341,7 @@
         self.work.unpark();
         if now >= self.work.told_at + TOLD {
             self.work.told_at = now;
-            tracing::info!("at the most: {:?}", self.work.most);
-            tracing::info!("since the start: {}", self.work.counts);
+            self.work.trace_counts();
         }
     }
 }
--- a/crates/front/src/reducer/trace.rs
+++ b/crates/front/src/reducer/trace.rs
@@ -22,6 +22,18 @@
 }
 
 impl Work {
+    pub(super) fn trace_counts(&self) {
+        tracing::info!("at the most: {:?}", self.most);
+        tracing::info!("since the start: {}", self.counts);
+        let dropped = doorgrade_log::dropped_lines();
+        if dropped > 0 {
+            tracing::warn!(
+                dropped,
+                "lines of this log were dropped since the start, as they are not read in time"
+            );
+        }
+    }
+
     pub(super) fn trace_taken(&self, access: AccessId) {
         let Some(taken) = self.accesses.get(&access) else { return };
         let (request, connection) = (taken.call(), number(taken.client));
