--- a/crates/control-client/src/neighbours/exchange.rs
+++ b/crates/control-client/src/neighbours/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use doorgrade::Tenths;
-use doorgrade_members::{self as members, Do, Words};
+use doorgrade_members::{self as members, Effect, Words};
 use doorgrade_recall::Gave;
 use tokio::sync::mpsc as queue;
 use tokio::time::sleep;
@@ -207,8 +207,8 @@
         let Some(peers) = &mut self.peers else { return };
         for done in peers.members.take() {
             match done {
-                Do::Send { to, said } => peers.datagram(to, OF_MEMBERS, &said).await,
-                Do::Tell(event) => {
+                Effect::Send { to, said } => peers.datagram(to, OF_MEMBERS, &said).await,
+                Effect::Tell(event) => {
                     tracing::info!("neighbours: {event}");
                     let remember = self.remember.iter_mut();
                     match event {
--- a/crates/lab/src/scale/members/world.rs
+++ b/crates/lab/src/scale/members/world.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddrV4;
 
 use doorgrade::Tenths;
-use doorgrade_members::{Do, Id, Members, Settings, seal};
+use doorgrade_members::{Effect, Id, Members, Settings, seal};
 use fastrand::Rng;
 use rustix::time::{ClockId, clock_gettime};
 
@@ -197,7 +197,7 @@
         one.busy_ns += processor_ns() - before;
         let second = self.second();
         for done in done {
-            let Do::Send { to, said } = done else { continue };
+            let Effect::Send { to, said } = done else { continue };
             self.nodes[node].sent.add(second, said.len() + AROUND);
             let to = node_at(to);
             if self.passes(node, to) {
--- a/crates/lab/src/sizes.rs
+++ b/crates/lab/src/sizes.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use doorgrade::Tenths;
-use doorgrade_members::{Do, Id, Members, Settings};
+use doorgrade_members::{Effect, Id, Members, Settings};
 use doorgrade_recall::{Asking, Fill, Gave, Giver, Giving, Memory, Purge, Rules, Source};
 use fastrand::Rng;
 use rayon::prelude::*;
@@ -165,7 +165,7 @@
     fn perform(&mut self, n: usize) {
         let done = self.all[n].members.as_mut().map(Members::take).unwrap_or_default();
         for done in done {
-            if let Do::Send { to, said } = done {
+            if let Effect::Send { to, said } = done {
                 self.all[n].words.one(self.now);
                 self.say(n, number(to), Said::Swim(said));
             }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -17,14 +17,19 @@
 //! What it can't know: whether one that does not answer is dead, stalled or cut off. `Down` is a belief.
 #![forbid(unsafe_code)]
 
+mod detection;
 mod doubts;
 mod id;
 mod members;
 pub mod seal;
 mod seek;
+mod settings;
+mod types;
 mod words;
 
 pub use id::{Id, MOST_NAME};
 pub use words::Words;
 
-pub use members::{Do, Event, Members, Seen, Settings, Standing, State};
+pub use members::Members;
+pub use settings::Settings;
+pub use types::{Effect, Event, Seen, Standing, State};
--- a/crates/members/tests/world.rs
+++ b/crates/members/tests/world.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use doorgrade::Tenths;
-use doorgrade_members::{Do, Event, Id, Members, Settings, Standing, State};
+use doorgrade_members::{Effect, Event, Id, Members, Settings, Standing, State};
 use fastrand::Rng;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -148,7 +148,7 @@
         let Some(members) = &mut self.all[n].members else { return };
         for done in members.take() {
             match done {
-                Do::Send { to, said } => {
+                Effect::Send { to, said } => {
                     self.all[n].said_at.push(self.now);
                     let m = usize::from(to.port() - 7_000);
                     let lost = self.rng.f64() < self.loss || self.cut.contains(&(n, m));
@@ -157,7 +157,7 @@
                         self.put(at, m, Comes::Said(said));
                     }
                 }
-                Do::Tell(event) => {
+                Effect::Tell(event) => {
                     if let Event::Down(id) = &event {
                         let m = usize::from(id.at.port() - 7_000);
                         let theirs = self.all[m].members.as_ref();
@@ -532,11 +532,11 @@
         other.tick(now);
         member.tick(now);
         for said in other.take() {
-            if let Do::Send { said, .. } = said {
+            if let Effect::Send { said, .. } = said {
                 member.hear(now, &said);
             }
         }
-        let told = |done: &Do| matches!(done, Do::Tell(Event::TooMany(_)));
+        let told = |done: &Effect| matches!(done, Effect::Tell(Event::TooMany(_)));
         forgot += member.take().iter().filter(|d| told(d)).count();
         // Nobody of them is probed for long: time is short. So they stay.
         now -= S / 2;
