The soak moves discovery with new configurations; a failed look counts as unheard

Cause: no fault was seen. The soak's reloads took the same file again, so a feed that moves with a new configuration, several times in a row, was played nowhere beside other faults. And by reading: where the look at a client fails (poll, before a request's first byte), the request began as if nothing had come.

Change: two feeds tell the same, and in half of the runs each SIGHUP comes with a file that names the other one. A failed look counts as something that was not heard; EINTR is tried again.

--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -48,7 +48,10 @@
     front: Front,
     shim: Shim,
     caches: [Cache; 3],
-    feed: Feed,
+    /// Both tell the same.
+    feeds: [Feed; 2],
+    /// When the front was told to follow the other feed.
+    moves: Mutex<Vec<Instant>>,
     record: Record,
     told: Mutex<Vec<Told>>,
 }
@@ -58,7 +61,7 @@
         let record: Record = Arc::default();
         let cache = |id: &str, n: u64| Cache::start(id, plan.spoilt, plan.seed ^ n << 40, &record).unwrap();
         let caches = [cache("s-00000001", 1), cache("s-00000002", 2), cache("s-00000020", 3)];
-        let feed = Feed::start(&free_address().to_string()).unwrap();
+        let feeds = [(); 2].map(|()| Feed::start(&free_address().to_string()).unwrap());
         let shim = Shim::new(plan.seed).unwrap();
         let deadline = format!("\"deadline\": {}.0", plan.deadline.as_millis());
         let aim = format!("\"aim\": {}.0", plan.deadline.as_millis() / 3);
@@ -70,10 +73,10 @@
             ("\"connIdle\": 15000.0", "\"connIdle\": 2000.0"),
             ("\"log\": \"info\"", "\"log\": \"debug\""),
         ];
-        let config = config([&caches[0].at, &caches[1].at, &caches[2].at, &feed.at], &changes);
+        let config = config([&caches[0].at, &caches[1].at, &caches[2].at, &feeds[0].at], &changes);
         let front = Launch { environment: shim.environment().unwrap(), ..Launch::default() }.start(&config);
-        until("the feed is followed", || !feed.begun().is_empty());
-        Rig { plan, front, shim, caches, feed, record, told: Mutex::default() }
+        until("the feed is followed", || !feeds[0].begun().is_empty());
+        Rig { plan, front, shim, caches, feeds, moves: Mutex::default(), record, told: Mutex::default() }
     }
 
     fn faults(&self) {
@@ -116,11 +119,16 @@
         let hour = 3_600_000_000_000;
         match act {
             // It may have ended in good order already.
-            Act::Signal(name) => signal_if_there(&self.front, name),
+            Act::Signal(name) => {
+                if *name == "-HUP" && self.plan.feed_moves {
+                    self.move_feed();
+                }
+                signal_if_there(&self.front, name);
+            }
             Act::Step(ms) => {
                 self.shim.set(Fault::ClockOffsetNs, (ms * 1_000_000).clamp(-hour, hour)).unwrap()
             }
-            Act::Feed { down } => self.feed.set_down(*down),
+            Act::Feed { down } => self.feeds.iter().for_each(|feed| feed.set_down(*down)),
             Act::NoMoreConnections => stays.store(true, Ordering::SeqCst),
         }
     }
@@ -136,11 +144,13 @@
             let at = Instant::now();
             let what = if !drained && at > drains {
                 drained = true;
-                self.feed.list(number, &[record("s-00000002", self.caches[1].at, 1, 0, 0, 0)]);
+                let draining = record("s-00000002", self.caches[1].at, 1, 0, 0, 0);
+                self.feeds.iter().for_each(|feed| feed.list(number, std::slice::from_ref(&draining)));
                 What::Drains("s-00000002".into())
             } else {
                 let key = 1 + rng.u64(0..KEYS);
-                self.feed.purge(number, key, doorgrade_standins::unix_ms());
+                let purged_ms = doorgrade_standins::unix_ms();
+                self.feeds.iter().for_each(|feed| feed.purge(number, key, purged_ms));
                 What::Purged(format!("{key:016x}"))
             };
             let heard = self.heard(begun, Instant::now());
@@ -148,6 +158,35 @@
         }
     }
 
+    /// A new configuration, which names the feed that the one before did not.
+    fn move_feed(&self) {
+        let config = std::fs::read_to_string(&self.front.config).unwrap();
+        let [one, other] = self.feeds.each_ref().map(|feed| feed.at.to_string());
+        let moved = match config.contains(&one) {
+            true => config.replace(&one, &other),
+            false => config.replace(&other, &one),
+        };
+        let whole = self.front.config.with_extension("next");
+        std::fs::write(&whole, moved).unwrap();
+        std::fs::rename(&whole, &self.front.config).unwrap();
+        self.moves.lock().unwrap().push(Instant::now());
+    }
+
+    /// What was told. The front may have heard it only after it had moved to another feed.
+    fn all_told(&self) -> Vec<Told> {
+        let moves = self.moves.lock().unwrap();
+        let mut told = self.told.lock().unwrap().clone();
+        for Told { at, heard, .. } in &mut told {
+            for moved in moves.iter().filter(|&&moved| *at + SOON_DOWN > moved) {
+                let again = *moved + FOLLOWED_AGAIN;
+                if *at < again {
+                    *heard = again.max(*heard);
+                }
+            }
+        }
+        told
+    }
+
     /// When the front can have heard what was told at this time: discovery is asked anew after a second at the most.
     fn heard(&self, begun: Instant, at: Instant) -> Instant {
         let Some((down, up)) = self.plan.feed_down else { return at };
@@ -228,7 +267,7 @@
     });
     let status = rig.front.process.wait().unwrap();
     let asked = rig.record.lock().unwrap().clone();
-    let told = rig.told.lock().unwrap().clone();
+    let told = rig.all_told();
     let run =
         Run { requests: &requests, asked: &asked, told: &told, killed, crowd: plan.crowd > 0, rig: late };
     let mut verdict = judge::judge(&run);
--- a/crates/cli/tests/soak/plan.rs
+++ b/crates/cli/tests/soak/plan.rs
@@ -24,6 +24,8 @@
     pub steps: Vec<(Duration, i64)>,
     /// Between these the feed refuses connections.
     pub feed_down: Option<(Duration, Duration)>,
+    /// Each new configuration names the other one of two feeds.
+    pub feed_moves: bool,
     /// Of a cache's answers, so many in a hundred go wrong.
     pub spoilt: u8,
     /// In a thousand, as the preloaded library takes them.
@@ -81,6 +83,7 @@
             lost: if_drawn(bytes, 5),
             stalled: if_drawn(threads, 20),
             stall_us: 15_000,
+            feed_moves: rng.bool(),
         }
     }
 }
--- a/crates/front/src/awaiting.rs
+++ b/crates/front/src/awaiting.rs
@@ -5,6 +5,7 @@
 
 use doorgrade::Tenths;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::retry_on_intr;
 
 use crate::clock;
 use crate::conn::{ConnId, Stream};
@@ -40,8 +41,9 @@
         let Some(stream) = self.stream.upgrade() else { return Some(Cut::ClientLeft) };
         let mut asked = [PollFd::new(stream.socket.inner(), PollFlags::IN | PollFlags::RDHUP)];
         let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
-        // A look that fails tells nothing.
-        let seen = poll(&mut asked, Some(&at_once)).map_or(PollFlags::empty(), |_| asked[0].revents());
+        let looked = retry_on_intr(|| poll(&mut asked, Some(&at_once)));
+        // A look that fails tells nothing: something may have come.
+        let seen = looked.map_or(PollFlags::IN, |_| asked[0].revents());
         if seen.intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR) {
             return Some(Cut::ClientLeft);
         }
