--- a/crates/cli/tests/soak/client.rs
+++ b/crates/cli/tests/soak/client.rs
@@ -60,10 +60,20 @@
     Leaves,
     /// Writes its requests in pieces.
     WritesSlowly,
+    /// Reads only now and then, so that its requests cross the end of its connection.
+    ReadsLate,
 }
 
-const MANNERS: [Manner; 5] =
-    [Manner::Steady, Manner::Pipelines, Manner::Rests, Manner::Leaves, Manner::WritesSlowly];
+const MANNERS: [Manner; 6] = [
+    Manner::Steady,
+    Manner::Pipelines,
+    Manner::Rests,
+    Manner::Leaves,
+    Manner::WritesSlowly,
+    Manner::ReadsLate,
+];
+/// The longest that one that reads late goes without.
+const READS_LATE_MS: u64 = 30;
 
 pub struct Client<'a> {
     pub front: SocketAddr,
@@ -86,6 +96,8 @@
     id: u16,
     /// When to say something again.
     next: Instant,
+    /// When to read again.
+    reads: Instant,
     /// When to leave.
     leaves: Option<Instant>,
     /// When it has been used for long enough, and is closed once nothing is open on it.
@@ -122,6 +134,7 @@
             open: BTreeMap::new(),
             id: 0,
             next: Instant::now(),
+            reads: Instant::now(),
             leaves: None,
             used_up: Instant::now() + Duration::from_millis(self.rng.u64(100..1_500)),
         })
@@ -140,7 +153,7 @@
                 self.ended(&mut c, |_| End::Open);
                 return None;
             }
-            if !self.read(&mut c) {
+            if !self.read_if_due(&mut c) {
                 let at = Instant::now();
                 let rested = c.open.values().all(|r| at - r.written <= CROSSING);
                 let crossed = c.open.values().next().filter(|_| rested).map(|r| (r.class, r.key.clone()));
@@ -251,6 +264,16 @@
         Ok(())
     }
 
+    fn read_if_due(&mut self, c: &mut Connection) -> bool {
+        if c.manner == Manner::ReadsLate {
+            if c.reads > Instant::now() {
+                return true;
+            }
+            c.reads = Instant::now() + Duration::from_millis(self.rng.u64(0..READS_LATE_MS));
+        }
+        self.read(c)
+    }
+
     /// What has come; false where the connection has ended.
     fn read(&mut self, c: &mut Connection) -> bool {
         let mut bytes = [0; 16 * 1024];
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -278,8 +278,9 @@
     let seen = |what| rig.shim.seen(what).unwrap();
     let faults = [Seen::Failed, Seen::Interrupted, Seen::CutShort, Seen::Lost, Seen::Stalled].map(seen);
     let line = format!(
-        "seed {seed}: {} requests, {} answered ({} served, {} late), {} left, {} crossed an end; {} attempts; faults \
+        "seed {seed}: a crowd of {}; {} requests, {} answered ({} served, {} late), {} left, {} crossed an end; {} attempts; faults \
          {faults:?}; rig late by {late:?}; ended {}; broken: {}",
+        plan.crowd,
         requests.len(),
         verdict.answered,
         verdict.served,
