--- a/crates/lab/src/config.rs
+++ b/crates/lab/src/config.rs
@@ -49,12 +49,12 @@
         self.what.insert(self.count, event);
     }
 
-    fn do_front(&mut self, n: usize, out: Vec<front::Do>) {
+    fn do_front(&mut self, n: usize, out: Vec<front::Effect>) {
         for each in out {
             let lag = 1 + self.rng.u64(0..100);
             match each {
-                front::Do::Connect => self.at(lag, Event::Connects(n)),
-                front::Do::Close => {
+                front::Effect::Connect => self.at(lag, Event::Connects(n)),
+                front::Effect::Close => {
                     if let Some(conn) = self.conns[n].take() {
                         self.of_conn.remove(&conn);
                         let mut out = Vec::new();
@@ -62,12 +62,12 @@
                         self.do_service(out);
                     }
                 }
-                front::Do::Send(message) => {
+                front::Effect::Send(message) => {
                     if let Some(conn) = self.conns[n] {
                         self.at(lag, Event::Says(conn, message));
                     }
                 }
-                front::Do::Wake(at) => self.at(at.saturating_sub(self.now), Event::FrontDue(n)),
+                front::Effect::Wake(at) => self.at(at.saturating_sub(self.now), Event::FrontDue(n)),
                 _ => {}
             }
         }
--- a/crates/stream/src/follow.rs
+++ b/crates/stream/src/follow.rs
@@ -10,7 +10,7 @@
 use doorgrade_keys::rustls::ClientConfig;
 use doorgrade_keys::rustls::pki_types::ServerName;
 use doorgrade_trust::pace;
-use doorgrade_versions::front::{Content, Do, Front, Line};
+use doorgrade_versions::front::{Content, Effect, Front, Line};
 use doorgrade_versions::message::{ToFront, ToService};
 use doorgrade_versions::seal::{Keys, Seal};
 use doorgrade_versions::{Id, Reason, Tenths};
@@ -138,8 +138,8 @@
         host: H,
         to: To,
         tls: Arc<ClientConfig>,
-        start: impl FnOnce(Tenths, &mut Vec<Do>) -> Front,
-    ) -> (Self, Vec<Do>) {
+        start: impl FnOnce(Tenths, &mut Vec<Effect>) -> Front,
+    ) -> (Self, Vec<Effect>) {
         let mut out = Vec::new();
         let front = start(now(), &mut out);
         let (next, link, connecting, wake, report) = (0, None, None, None, None);
@@ -151,7 +151,7 @@
     }
 
     /// Until it is told to stop, or whoever could tell it is gone.
-    pub async fn run(&mut self, first: Vec<Do>, commands: &mut mpsc::Receiver<Command>) {
+    pub async fn run(&mut self, first: Vec<Effect>, commands: &mut mpsc::Receiver<Command>) {
         self.perform(first).await;
         let mut serves = ticks(SERVES_EACH);
         loop {
@@ -223,21 +223,21 @@
         }
     }
 
-    fn lost(&mut self, at: SocketAddr, why: &str, out: &mut Vec<Do>) {
+    fn lost(&mut self, at: SocketAddr, why: &str, out: &mut Vec<Effect>) {
         // Another place is tried next.
         self.next = self.next.wrapping_add(1);
         self.host.lost(at, why);
         self.front.down(now(), out);
     }
 
-    fn cut(&mut self, why: &Ended, out: &mut Vec<Do>) {
+    fn cut(&mut self, why: &Ended, out: &mut Vec<Effect>) {
         if let Some(link) = self.link.take() {
             self.sent += link.writer.sent;
             self.lost(link.at, &why.to_string(), out);
         }
     }
 
-    async fn send(&mut self, message: &ToService, out: &mut Vec<Do>) {
+    async fn send(&mut self, message: &ToService, out: &mut Vec<Effect>) {
         let Some(link) = &mut self.link else { return };
         if let Err(why) = link.writer.write(message).await {
             self.cut(&why, out);
@@ -245,42 +245,42 @@
     }
 
     /// Does what the machine asks for, and what that leads to.
-    async fn perform(&mut self, mut todo: Vec<Do>) {
+    async fn perform(&mut self, mut todo: Vec<Effect>) {
         while !todo.is_empty() {
             let mut out = Vec::new();
             for each in todo.drain(..) {
                 match each {
-                    Do::Connect => {
+                    Effect::Connect => {
                         let at = self.to.at[self.next % self.to.at.len()];
                         self.connecting = Some(Box::pin(connect(at, self.to.name.clone(), self.tls.clone())));
                     }
-                    Do::Close => {
+                    Effect::Close => {
                         if let Some(mut link) = self.link.take() {
                             self.sent += link.writer.sent;
                             link.writer.close().await;
                         }
                     }
-                    Do::Send(message) => self.send(&message, &mut out).await,
-                    Do::Check(id, content) => {
+                    Effect::Send(message) => self.send(&message, &mut out).await,
+                    Effect::Check(id, content) => {
                         let result = self.host.check(&id, &content);
                         self.front.checked(now(), id, result, &mut out);
                     }
-                    Do::Stage { id, falls } => {
+                    Effect::Stage { id, falls } => {
                         self.host.stage(id, falls);
                         self.front.staged(now(), id, &mut out);
                     }
-                    Do::Apply(id, content) => {
+                    Effect::Apply(id, content) => {
                         let result = self.host.apply(&id, &content).await;
                         self.front.applied(now(), id, result, &mut out);
                     }
-                    Do::Keep(id, seal, content) => {
+                    Effect::Keep(id, seal, content) => {
                         let stored = self.host.keep(id, seal, &content);
                         self.front.kept(now(), id, stored, &mut out);
                     }
-                    Do::Unstage => self.host.unstage(),
-                    Do::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
-                    Do::Tell(line) => self.host.tell(line),
-                    Do::Report { every } => self.report = every.map(ticks),
+                    Effect::Unstage => self.host.unstage(),
+                    Effect::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
+                    Effect::Tell(line) => self.host.tell(line),
+                    Effect::Report { every } => self.report = every.map(ticks),
                 }
             }
             todo = out;
--- a/crates/versions/src/front.rs
+++ b/crates/versions/src/front.rs
@@ -1,11 +1,12 @@
 //! A front's side: offered, fetched, checked, staged, applied, confirmed or turned down.
 //!
-//! The shell hands in what happens and does what [`Do`] says. At any time the front runs what was applied last;
+//! The shell hands in what happens and does what [`Effect`] says. At any time the front runs what was applied last;
 //! what it says that it runs is that. A version is staged, with a count, before it is applied, and good once it
 //! was: a front that goes down while applying finds it staged at its next start, runs the last good one, and after
 //! `MOST_FALLS` such starts turns the version down by itself. That a store fails stops nothing but storing.
 
-use std::sync::Arc;
+mod candidate;
+mod types;
 
 use fastrand::Rng;
 
@@ -14,71 +15,8 @@
 use crate::seal::{Keys, Seal};
 use crate::{Id, MOST_CONTENT, Reason, Tenths};
 
-pub type Content = Arc<[u8]>;
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum Do {
-    Connect,
-    Close,
-    Send(ToService),
-    /// Say whether it can be used, and why not: [`Front::checked`].
-    Check(Id, Content),
-    /// Answered by [`Front::staged`], whatever came of it. `falls`: how often the front went down on it.
-    Stage {
-        id: Id,
-        falls: u32,
-    },
-    /// Answered by [`Front::applied`].
-    Apply(Id, Content),
-    /// Answered by [`Front::kept`], whatever came of it. What was staged is no more.
-    Keep(Id, Seal, Content),
-    /// Nothing is staged any more; unanswered.
-    Unstage,
-    /// Call [`Front::due`] then.
-    Wake(Tenths),
-    Tell(Line),
-    /// Call [`Front::report`] now and then each `every`, in place of what was asked before; none: no more.
-    Report {
-        every: Option<Tenths>,
-    },
-}
-
-/// A line for the log.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Line {
-    Runs(Id),
-    TurnedDown(Id, Reason),
-    /// The service says nothing, or can't be reached, since so long.
-    Silent(Tenths),
-    Back,
-    /// What was kept could not be used; it runs its own file.
-    OwnFile(Reason),
-    NotStored(Id),
-}
-
-/// What a start finds in the store.
-#[derive(Clone, Debug, Default)]
-pub struct Found {
-    pub good: Option<(Id, Seal, Content)>,
-    /// A version that was being applied when the front went down, and how often it was before.
-    pub staged: Option<(Id, u32)>,
-}
-
-#[derive(Clone, Debug)]
-enum Step {
-    Asked { tries: u32 },
-    Checking(Seal, Content),
-    Staging(Seal, Content),
-    Applying(Seal, Content),
-    Keeping,
-}
-
-#[derive(Clone, Debug)]
-struct Candidate {
-    id: Id,
-    step: Step,
-    since: Tenths,
-}
+use candidate::{Candidate, Step};
+pub use types::{Content, Effect, Found, Line};
 
 #[derive(Clone, Debug)]
 enum Link {
@@ -148,12 +86,12 @@
         keys: Keys,
         found: Found,
         usable: Result<(), Reason>,
-        out: &mut Vec<Do>,
+        out: &mut Vec<Effect>,
     ) -> Front {
         let runs = match usable {
             Ok(()) => found.good,
             Err(why) => {
-                out.push(Do::Tell(Line::OwnFile(why)));
+                out.push(Effect::Tell(Line::OwnFile(why)));
                 None
             }
         };
@@ -182,10 +120,10 @@
             front.fell = Some((id, falls));
             if falls >= MOST_FALLS {
                 front.remember(id, Reason::Fatal(falls));
-                out.push(Do::Tell(Line::TurnedDown(id, Reason::Fatal(falls))));
+                out.push(Effect::Tell(Line::TurnedDown(id, Reason::Fatal(falls))));
             }
         }
-        out.push(Do::Connect);
+        out.push(Effect::Connect);
         front
     }
 
@@ -201,17 +139,17 @@
 
     // ---- the connection
 
-    pub fn up(&mut self, now: Tenths, out: &mut Vec<Do>) {
+    pub fn up(&mut self, now: Tenths, out: &mut Vec<Effect>) {
         // Until it says how often it speaks, as long as a content may take.
         self.link = Link::Up { heard: now, every: CONTENT_WITHIN / SILENCE };
         let runs = self.runs.as_ref().map(|r| (r.0, r.1));
         let hello = ToService::Hello { front: self.name.clone(), station: self.station.clone(), runs };
-        out.push(Do::Send(hello));
+        out.push(Effect::Send(hello));
         self.wake(now + CONTENT_WITHIN, out);
     }
 
     /// It is lost, or could not be made.
-    pub fn down(&mut self, now: Tenths, out: &mut Vec<Do>) {
+    pub fn down(&mut self, now: Tenths, out: &mut Vec<Effect>) {
         // They were cut off together. While pauses grow each doubles its own; at the longest it draws a moment within
         // it once, and keeps to that: so whenever the service returns they come evenly over one pause.
         let longest = PAUSES[1];
@@ -225,7 +163,7 @@
         self.part(now, at, out);
     }
 
-    fn part(&mut self, now: Tenths, at: Tenths, out: &mut Vec<Do>) {
+    fn part(&mut self, now: Tenths, at: Tenths, out: &mut Vec<Effect>) {
         self.link = Link::Down { at };
         self.silent_since.get_or_insert(now);
         // What was on its way comes to nothing; what has come goes on without the service.
@@ -234,19 +172,19 @@
         }
         self.next = None;
         if self.report_every.take().is_some() {
-            out.push(Do::Report { every: None });
+            out.push(Effect::Report { every: None });
         }
         self.wake(at, out);
     }
 
-    fn wake(&mut self, at: Tenths, out: &mut Vec<Do>) {
+    fn wake(&mut self, at: Tenths, out: &mut Vec<Effect>) {
         if self.wakes.is_none_or(|w| at < w) {
             self.wakes = Some(at);
-            out.push(Do::Wake(at));
+            out.push(Effect::Wake(at));
         }
     }
 
-    pub fn due(&mut self, now: Tenths, out: &mut Vec<Do>) {
+    pub fn due(&mut self, now: Tenths, out: &mut Vec<Effect>) {
         if self.wakes.is_some_and(|w| w > now) {
             return;
         }
@@ -254,10 +192,10 @@
         match self.link {
             Link::Down { at } if now >= at => {
                 self.link = Link::Trying;
-                out.push(Do::Connect);
+                out.push(Effect::Connect);
             }
             Link::Up { heard, every } if now >= heard + SILENCE * every => {
-                out.push(Do::Close);
+                out.push(Effect::Close);
                 self.down(now, out);
             }
             Link::Up { heard, every } => self.wake(heard + SILENCE * every, out),
@@ -274,13 +212,13 @@
         }
         if let Some(since) = self.silent_since.filter(|&s| now >= s + TELL_SILENT && !self.told_silent) {
             self.told_silent = true;
-            out.push(Do::Tell(Line::Silent(now - since)));
+            out.push(Effect::Tell(Line::Silent(now - since)));
         }
     }
 
     // ---- what the service says
 
-    pub fn heard(&mut self, now: Tenths, message: ToFront, out: &mut Vec<Do>) {
+    pub fn heard(&mut self, now: Tenths, message: ToFront, out: &mut Vec<Effect>) {
         let Link::Up { heard, every } = &mut self.link else { return };
         *heard = now;
         if let ToFront::Welcome { every: told } = &message {
@@ -292,17 +230,17 @@
             (self.pause, self.placed) = (PAUSES[0], false);
             self.silent_since = None;
             if std::mem::take(&mut self.told_silent) {
-                out.push(Do::Tell(Line::Back));
+                out.push(Effect::Tell(Line::Back));
             }
         }
         match message {
             ToFront::Welcome { .. } | ToFront::Alive => {}
             ToFront::ReportEvery { millis } => {
                 self.report_every = Some(millis.saturating_mul(10).clamp(REPORT_EVERY[0], REPORT_EVERY[1]));
-                out.push(Do::Report { every: self.report_every });
+                out.push(Effect::Report { every: self.report_every });
             }
             ToFront::Later { after } => {
-                out.push(Do::Close);
+                out.push(Effect::Close);
                 // As told, and a little more: nobody before its turn.
                 let after = after.min(10 * PAUSES[1]);
                 let at = now + after + self.rng.u64(0..=500);
@@ -322,20 +260,20 @@
         }
     }
 
-    fn offered(&mut self, now: Tenths, id: Id, out: &mut Vec<Do>) {
+    fn offered(&mut self, now: Tenths, id: Id, out: &mut Vec<Effect>) {
         if let Some((runs, ..)) = &self.runs {
             if *runs == id {
-                return out.push(Do::Send(ToService::Runs { id, stored: self.stored }));
+                return out.push(Effect::Send(ToService::Runs { id, stored: self.stored }));
             }
             if id.place() <= runs.place() {
                 let same = id.place() == runs.place();
                 let why = if same { Reason::Contradicts } else { Reason::Older };
-                out.push(Do::Tell(Line::TurnedDown(id, why.clone())));
-                return out.push(Do::Send(ToService::TurnedDown { id, why }));
+                out.push(Effect::Tell(Line::TurnedDown(id, why.clone())));
+                return out.push(Effect::Send(ToService::TurnedDown { id, why }));
             }
         }
         if let Some((_, why)) = self.refused.iter().find(|r| r.0 == id) {
-            return out.push(Do::Send(ToService::TurnedDown { id, why: why.clone() }));
+            return out.push(Effect::Send(ToService::TurnedDown { id, why: why.clone() }));
         }
         match &self.candidate {
             Some(c) if c.id == id => {}
@@ -350,15 +288,15 @@
         }
     }
 
-    fn ask(&mut self, now: Tenths, id: Id, tries: u32, out: &mut Vec<Do>) {
+    fn ask(&mut self, now: Tenths, id: Id, tries: u32, out: &mut Vec<Effect>) {
         self.candidate = Some(Candidate { id, step: Step::Asked { tries }, since: now });
         // A delta that did not fit once is not asked for again.
         let base = self.runs().filter(|_| tries == 0);
-        out.push(Do::Send(ToService::Ask { id, base }));
+        out.push(Effect::Send(ToService::Ask { id, base }));
         self.wake(now + CONTENT_WITHIN, out);
     }
 
-    fn came(&mut self, now: Tenths, id: Id, seal: Seal, body: Body, out: &mut Vec<Do>) {
+    fn came(&mut self, now: Tenths, id: Id, seal: Seal, body: Body, out: &mut Vec<Effect>) {
         let whole = matches!(body, Body::Whole(_));
         let content: Option<Content> = match body {
             Body::Whole(content) => Some(content),
@@ -371,7 +309,7 @@
             Some(content) => {
                 let step = Step::Checking(seal, content.clone());
                 self.candidate = Some(Candidate { id, step, since: now });
-                out.push(Do::Check(id, content));
+                out.push(Effect::Check(id, content));
             }
             // A delta may have been made against something else: then the whole of it is asked for.
             None if !whole => self.ask(now, id, 1, out),
@@ -379,58 +317,9 @@
         }
     }
 
-    // ---- what the shell answers
-
-    /// What the check came to; of a version that is no more the candidate it means nothing.
-    pub fn checked(&mut self, now: Tenths, id: Id, result: Result<(), Reason>, out: &mut Vec<Do>) {
-        let Some((seal, content)) = self.at(id, |s| matches!(s, Step::Checking(..))) else { return };
-        if let Err(why) = result {
-            return self.turn_down(now, id, why, out);
-        }
-        let falls = self.fell.filter(|f| f.0 == id).map_or(0, |f| f.1);
-        self.candidate = Some(Candidate { id, step: Step::Staging(seal, content), since: now });
-        out.push(Do::Stage { id, falls });
-    }
-
-    /// It is staged, or could not be: then a crash while it is applied is not counted.
-    pub fn staged(&mut self, now: Tenths, id: Id, out: &mut Vec<Do>) {
-        let Some((seal, content)) = self.at(id, |s| matches!(s, Step::Staging(..))) else { return };
-        self.candidate = Some(Candidate { id, step: Step::Applying(seal, content.clone()), since: now });
-        out.push(Do::Apply(id, content));
-    }
-
-    pub fn applied(&mut self, now: Tenths, id: Id, result: Result<(), Reason>, out: &mut Vec<Do>) {
-        let Some((seal, content)) = self.at(id, |s| matches!(s, Step::Applying(..))) else { return };
-        if let Err(why) = result {
-            return self.turn_down(now, id, why, out);
-        }
-        self.runs = Some((id, seal, content.clone()));
-        self.stored = false;
-        self.fell = None;
-        self.candidate = Some(Candidate { id, step: Step::Keeping, since: now });
-        out.push(Do::Tell(Line::Runs(id)));
-        out.push(Do::Keep(id, seal, content));
-    }
-
-    pub fn kept(&mut self, now: Tenths, id: Id, stored: bool, out: &mut Vec<Do>) {
-        if !matches!(&self.candidate, Some(c) if c.id == id && matches!(c.step, Step::Keeping)) {
-            return;
-        }
-        self.stored = stored;
-        if !stored {
-            out.push(Do::Tell(Line::NotStored(id)));
-        }
-        self.say(ToService::Runs { id, stored }, out);
-        // Where it is counted what it serves with this version, from here on.
-        if self.report_every.is_some() {
-            out.push(Do::Report { every: self.report_every });
-        }
-        self.go_on(now, out);
-    }
-
     /// Counts since the process started: accesses that ended, and of those answered within the soft limit. Says nothing
     /// where the service has not asked for it.
-    pub fn report(&mut self, asked: u64, answered: u64, out: &mut Vec<Do>) {
+    pub fn report(&mut self, asked: u64, answered: u64, out: &mut Vec<Effect>) {
         if self.report_every.is_some() {
             self.sequence += 1;
             let (running, sequence) = (self.runs(), self.sequence);
@@ -439,48 +328,13 @@
     }
 
     /// How it serves, from time to time.
-    pub fn serves(&mut self, share: f32, out: &mut Vec<Do>) {
+    pub fn serves(&mut self, share: f32, out: &mut Vec<Effect>) {
         self.say(ToService::Serves { share }, out);
     }
 
-    fn at(&self, id: Id, step: impl Fn(&Step) -> bool) -> Option<(Seal, Content)> {
-        let candidate = self.candidate.as_ref().filter(|c| c.id == id && step(&c.step))?;
-        match &candidate.step {
-            Step::Checking(seal, content) | Step::Staging(seal, content) | Step::Applying(seal, content) => {
-                Some((*seal, content.clone()))
-            }
-            Step::Asked { .. } | Step::Keeping => None,
-        }
-    }
-
-    fn turn_down(&mut self, now: Tenths, id: Id, why: Reason, out: &mut Vec<Do>) {
-        let staged = matches!(&self.candidate, Some(c) if matches!(c.step, Step::Applying(..)));
-        if staged {
-            out.push(Do::Unstage);
-        }
-        self.remember(id, why.clone());
-        out.push(Do::Tell(Line::TurnedDown(id, why.clone())));
-        self.say(ToService::TurnedDown { id, why }, out);
-        self.go_on(now, out);
-    }
-
-    fn remember(&mut self, id: Id, why: Reason) {
-        if self.refused.len() == MOST_REFUSED {
-            self.refused.remove(0);
-        }
-        self.refused.push((id, why));
-    }
-
-    fn go_on(&mut self, now: Tenths, out: &mut Vec<Do>) {
-        self.candidate = None;
-        if let Some(next) = self.next.take() {
-            self.offered(now, next, out);
-        }
-    }
-
-    fn say(&mut self, message: ToService, out: &mut Vec<Do>) {
+    fn say(&mut self, message: ToService, out: &mut Vec<Effect>) {
         if matches!(self.link, Link::Up { .. }) {
-            out.push(Do::Send(message));
+            out.push(Effect::Send(message));
         }
     }
 }
--- a/crates/versions/tests/machines.rs
+++ b/crates/versions/tests/machines.rs
@@ -28,7 +28,7 @@
     ToService(u64, ToService),
     ToFront(usize, u64, ToFront),
     /// Of a front's life and its shell: what it was asked to do is done.
-    Shell(usize, u32, front::Do),
+    Shell(usize, u32, front::Effect),
     Up(usize, u32),
     Refused(usize, u32),
     /// The service hears of an end.
@@ -158,24 +158,24 @@
         self.at(back_after, Event::Restart(n));
     }
 
-    fn do_front(&mut self, n: usize, out: Vec<front::Do>) {
+    fn do_front(&mut self, n: usize, out: Vec<front::Effect>) {
         let life = self.hosts[n].life;
         for each in out {
             let lag = 1 + self.rng.u64(0..200);
             match each {
-                front::Do::Connect => {
+                front::Effect::Connect => {
                     let event =
                         if self.service.is_some() { Event::Up(n, life) } else { Event::Refused(n, life) };
                     self.at(lag, event);
                 }
-                front::Do::Close => {
+                front::Effect::Close => {
                     if let Some(conn) = self.hosts[n].conn.take()
                         && self.conns.remove(&conn).is_some()
                     {
                         self.at(lag, Event::Gone(conn));
                     }
                 }
-                front::Do::Send(message) => {
+                front::Effect::Send(message) => {
                     let runs = self.hosts[n].front.as_ref().map(Front::runs);
                     match &message {
                         ToService::Runs { id, .. } => assert_eq!(runs, Some(Some(*id)), "an untrue claim"),
@@ -188,9 +188,9 @@
                         self.at(lag, Event::ToService(conn, message));
                     }
                 }
-                front::Do::Wake(at) => self.at(at.saturating_sub(self.now), Event::FrontDue(n, life)),
-                front::Do::Tell(line) => self.hosts[n].lines.push(line),
-                front::Do::Unstage => self.hosts[n].staged = None,
+                front::Effect::Wake(at) => self.at(at.saturating_sub(self.now), Event::FrontDue(n, life)),
+                front::Effect::Tell(line) => self.hosts[n].lines.push(line),
+                front::Effect::Unstage => self.hosts[n].staged = None,
                 shell => self.at(lag, Event::Shell(n, life, shell)),
             }
         }
@@ -250,7 +250,7 @@
         }
     }
 
-    fn on_front(&mut self, n: usize, act: impl FnOnce(&mut Front, u64, &mut Vec<front::Do>)) {
+    fn on_front(&mut self, n: usize, act: impl FnOnce(&mut Front, u64, &mut Vec<front::Effect>)) {
         let mut out = Vec::new();
         if let Some(front) = &mut self.hosts[n].front {
             act(front, self.now, &mut out);
@@ -268,23 +268,23 @@
         result
     }
 
-    fn shell(&mut self, n: usize, asked: front::Do) {
+    fn shell(&mut self, n: usize, asked: front::Effect) {
         self.shell_events += 1;
         if self.dies_at == Some(self.shell_events) {
             return self.kill_front(n, SECOND);
         }
         match asked {
-            front::Do::Check(id, content) => {
+            front::Effect::Check(id, content) => {
                 let result = check(&content);
                 self.on_front(n, |f, now, out| f.checked(now, id, result, out));
             }
-            front::Do::Stage { id, falls } => {
+            front::Effect::Stage { id, falls } => {
                 if !self.hosts[n].full {
                     self.hosts[n].staged = Some((id, falls));
                 }
                 self.on_front(n, |f, now, out| f.staged(now, id, out));
             }
-            front::Do::Apply(id, content) => {
+            front::Effect::Apply(id, content) => {
                 let runs = self.hosts[n].front.as_ref().and_then(Front::runs);
                 assert!(runs.is_none_or(|r| r.place() < id.place()), "an older version is applied");
                 match &content[..5] {
@@ -296,7 +296,7 @@
                     _ => self.on_front(n, |f, now, out| f.applied(now, id, Ok(()), out)),
                 }
             }
-            front::Do::Keep(id, seal, content) => {
+            front::Effect::Keep(id, seal, content) => {
                 let full = self.hosts[n].full;
                 if !full {
                     (self.hosts[n].good, self.hosts[n].staged) = (Some((id, seal, content)), None);
@@ -788,15 +788,15 @@
         f.heard(START, ToFront::Offer { id }, &mut out);
         f.heard(START, ToFront::Content { id, seal, body }, &mut out);
         let told = out.iter().find_map(|d| match d {
-            front::Do::Send(ToService::TurnedDown { why, .. }) => Some(why.to_string()),
+            front::Effect::Send(ToService::TurnedDown { why, .. }) => Some(why.to_string()),
             _ => None,
         });
         assert_eq!(told.as_deref(), Some(why));
-        assert!(!out.iter().any(|d| matches!(d, front::Do::Check(..))));
+        assert!(!out.iter().any(|d| matches!(d, front::Effect::Check(..))));
         out.clear();
         f.heard(START, ToFront::Offer { id }, &mut out);
         assert!(
-            matches!(&out[..], [front::Do::Send(ToService::TurnedDown { .. })]),
+            matches!(&out[..], [front::Effect::Send(ToService::TurnedDown { .. })]),
             "told again, not fetched"
         );
     }
@@ -809,8 +809,8 @@
     let steps = vec![delta::Step::Keep { from: u64::MAX, count: u64::MAX }];
     f.heard(START, ToFront::Content { id, seal, body: Body::Delta(steps) }, &mut out);
     f.heard(START, ToFront::Content { id, seal, body: Body::Whole(content) }, &mut out);
-    assert!(out.iter().any(|d| matches!(d, front::Do::Send(ToService::Ask { base: None, .. }))));
-    assert!(out.iter().any(|d| matches!(d, front::Do::Check(..))));
+    assert!(out.iter().any(|d| matches!(d, front::Effect::Send(ToService::Ask { base: None, .. }))));
+    assert!(out.iter().any(|d| matches!(d, front::Effect::Check(..))));
 }
 
 fn random_run(seed: u64) {
--- a/crates/versions/tests/model.rs
+++ b/crates/versions/tests/model.rs
@@ -56,7 +56,7 @@
     to_front: VecDeque<ToFront>,
     /// The front asked for a connection.
     wants: bool,
-    shell: VecDeque<front::Do>,
+    shell: VecDeque<front::Effect>,
     good: Option<(Id, Seal, Content)>,
     staged: Option<(Id, u32)>,
     disk: Disk,
@@ -138,12 +138,12 @@
         self.of_service(out);
     }
 
-    fn of_front(&mut self, out: Vec<front::Do>) {
+    fn of_front(&mut self, out: Vec<front::Effect>) {
         for each in out {
             match each {
-                front::Do::Connect => self.wants = true,
-                front::Do::Close => self.cut(false),
-                front::Do::Send(message) => {
+                front::Effect::Connect => self.wants = true,
+                front::Effect::Close => self.cut(false),
+                front::Effect::Send(message) => {
                     let runs = self.front.as_ref().and_then(Front::runs);
                     let told = match &message {
                         ToService::Runs { id, .. } => Some(Some(*id)),
@@ -158,9 +158,11 @@
                         self.to_service.push_back(message);
                     }
                 }
-                front::Do::Wake(at) => self.front_wakes = Some(self.front_wakes.map_or(at, |w| w.min(at))),
-                front::Do::Unstage => self.staged = None,
-                front::Do::Tell(_) => {}
+                front::Effect::Wake(at) => {
+                    self.front_wakes = Some(self.front_wakes.map_or(at, |w| w.min(at)))
+                }
+                front::Effect::Unstage => self.staged = None,
+                front::Effect::Tell(_) => {}
                 shell => self.shell.push_back(shell),
             }
         }
@@ -223,15 +225,15 @@
         let (now, mut out) = (self.now, Vec::new());
         let Some(front) = &mut self.front else { return };
         match next {
-            front::Do::Check(id, content) => front.checked(now, id, usable(&content), &mut out),
-            front::Do::Stage { id, falls } => {
+            front::Effect::Check(id, content) => front.checked(now, id, usable(&content), &mut out),
+            front::Effect::Stage { id, falls } => {
                 if !fails {
                     self.staged = Some((id, falls));
                 }
                 front.staged(now, id, &mut out);
             }
-            front::Do::Apply(id, _) => front.applied(now, id, Ok(()), &mut out),
-            front::Do::Keep(id, seal, content) => {
+            front::Effect::Apply(id, _) => front.applied(now, id, Ok(()), &mut out),
+            front::Effect::Keep(id, seal, content) => {
                 if !fails {
                     (self.good, self.staged) = (Some((id, seal, content)), None);
                 }
@@ -274,7 +276,7 @@
         may(up && !w.to_service.is_empty(), Step::ToService);
         may(up && !w.to_front.is_empty(), Step::ToFront);
         may(!w.shell.is_empty() && w.front.is_some(), Step::Shell { fails: false });
-        let writes = matches!(w.shell.front(), Some(front::Do::Stage { .. } | front::Do::Keep(..)));
+        let writes = matches!(w.shell.front(), Some(front::Effect::Stage { .. } | front::Effect::Keep(..)));
         may(writes && w.left.failed_writes > 0, Step::Shell { fails: true });
         may(w.conn.is_some() && w.left.cuts > 0, Step::Cut);
         may(w.front.is_some() && w.left.front_deaths > 0, Step::FrontDies);
--- a/crates/versions/tests/small_trial/mod.rs
+++ b/crates/versions/tests/small_trial/mod.rs
@@ -222,15 +222,15 @@
 
     // ---- what the machines want done; a front's shell does it at once
 
-    fn of_front(&mut self, n: usize, out: Vec<front::Do>) {
+    fn of_front(&mut self, n: usize, out: Vec<front::Effect>) {
         let mut todo = VecDeque::from(out);
         while let Some(each) = todo.pop_front() {
             let (now, mut more) = (self.now, Vec::new());
             let host = &mut self.hosts[n];
             match each {
-                front::Do::Connect => host.wants = true,
-                front::Do::Close => self.cut(n, false),
-                front::Do::Send(message) => {
+                front::Effect::Connect => host.wants = true,
+                front::Effect::Close => self.cut(n, false),
+                front::Effect::Send(message) => {
                     if let ToService::TurnedDown { id, .. } = &message {
                         host.refused.insert(id.hash);
                     }
@@ -238,23 +238,23 @@
                         host.to_service.push_back(message);
                     }
                 }
-                front::Do::Wake(at) => host.wakes = Some(host.wakes.map_or(at, |w| w.min(at))),
-                front::Do::Unstage => host.staged = None,
-                front::Do::Tell(_) => {}
-                front::Do::Report { every } => host.reports = every.is_some(),
-                front::Do::Check(id, content) => {
+                front::Effect::Wake(at) => host.wakes = Some(host.wakes.map_or(at, |w| w.min(at))),
+                front::Effect::Unstage => host.staged = None,
+                front::Effect::Tell(_) => {}
+                front::Effect::Report { every } => host.reports = every.is_some(),
+                front::Effect::Check(id, content) => {
                     let result = usable(&content);
                     if let Some(front) = &mut host.front {
                         front.checked(now, id, result, &mut more);
                     }
                 }
-                front::Do::Stage { id, falls } => {
+                front::Effect::Stage { id, falls } => {
                     host.staged = Some((id, falls));
                     if let Some(front) = &mut host.front {
                         front.staged(now, id, &mut more);
                     }
                 }
-                front::Do::Apply(id, content) => {
+                front::Effect::Apply(id, content) => {
                     let only_says_so = self.plant == Plant::ConfirmsWithoutRunning && n == 0;
                     if !only_says_so {
                         host.content = Some(content);
@@ -271,7 +271,7 @@
                         self.breaks("it starts on what it turned down");
                     }
                 }
-                front::Do::Keep(id, seal, content) => {
+                front::Effect::Keep(id, seal, content) => {
                     (host.good, host.staged) = (Some((id, seal, content)), None);
                     if let Some(front) = &mut host.front {
                         front.kept(now, id, true, &mut more);
--- a/crates/versions/tests/trial_world/mod.rs
+++ b/crates/versions/tests/trial_world/mod.rs
@@ -33,7 +33,7 @@
 enum Event {
     ToService(u64, ToService),
     ToFront(usize, u64, ToFront),
-    Shell(usize, u32, front::Do),
+    Shell(usize, u32, front::Effect),
     Up(usize, u32),
     Refused(usize, u32),
     Gone(u64),
@@ -347,24 +347,24 @@
 
     // ---- what the machines want
 
-    fn do_front(&mut self, n: usize, out: Vec<front::Do>) {
+    fn do_front(&mut self, n: usize, out: Vec<front::Effect>) {
         let life = self.hosts[n].life;
         for each in out {
             let lag = self.hosts[n].latency + self.rng.u64(0..20);
             match each {
-                front::Do::Connect => {
+                front::Effect::Connect => {
                     let reachable = self.service.is_some() && !self.hosts[n].cut_off;
                     let event = if reachable { Event::Up(n, life) } else { Event::Refused(n, life) };
                     self.at(2 * lag, event);
                 }
-                front::Do::Close => {
+                front::Effect::Close => {
                     if let Some(conn) = self.hosts[n].conn.take()
                         && self.conns.remove(&conn).is_some()
                     {
                         self.at(lag, Event::Gone(conn));
                     }
                 }
-                front::Do::Send(message) => {
+                front::Effect::Send(message) => {
                     let Some(conn) = self.hosts[n].conn else { continue };
                     let at = (self.now + lag).max(self.hosts[n].last_sent);
                     self.hosts[n].last_sent = at;
@@ -381,10 +381,10 @@
                     }
                     self.at(at - self.now, Event::ToService(conn, message));
                 }
-                front::Do::Wake(at) => self.at(at.saturating_sub(self.now), Event::FrontDue(n, life)),
-                front::Do::Tell(_) => {}
-                front::Do::Unstage => self.hosts[n].staged = None,
-                front::Do::Report { every } => {
+                front::Effect::Wake(at) => self.at(at.saturating_sub(self.now), Event::FrontDue(n, life)),
+                front::Effect::Tell(_) => {}
+                front::Effect::Unstage => self.hosts[n].staged = None,
+                front::Effect::Report { every } => {
                     self.hosts[n].timer += 1;
                     self.hosts[n].every = every;
                     let timer = self.hosts[n].timer;
@@ -479,7 +479,7 @@
         self.lines.push((self.now, line));
     }
 
-    pub fn on_front(&mut self, n: usize, act: impl FnOnce(&mut Front, u64, &mut Vec<front::Do>)) {
+    pub fn on_front(&mut self, n: usize, act: impl FnOnce(&mut Front, u64, &mut Vec<front::Effect>)) {
         let mut out = Vec::new();
         if let Some(front) = &mut self.hosts[n].front {
             act(front, self.now, &mut out);
@@ -497,18 +497,18 @@
         result
     }
 
-    fn shell(&mut self, n: usize, asked: front::Do) {
+    fn shell(&mut self, n: usize, asked: front::Effect) {
         match asked {
-            front::Do::Check(id, content) => {
+            front::Effect::Check(id, content) => {
                 let refuse = self.effects_of(&id, &content).refuse;
                 let result = if refuse { Err(Reason::Unusable("refused".into())) } else { Ok(()) };
                 self.on_front(n, |f, now, out| f.checked(now, id, result, out));
             }
-            front::Do::Stage { id, falls } => {
+            front::Effect::Stage { id, falls } => {
                 self.hosts[n].staged = Some((id, falls));
                 self.on_front(n, |f, now, out| f.staged(now, id, out));
             }
-            front::Do::Apply(id, content) => {
+            front::Effect::Apply(id, content) => {
                 let runs = self.hosts[n].front.as_ref().and_then(Front::runs);
                 assert!(runs.is_none_or(|r| r.place() < id.place()), "an older version is applied");
                 let effects = self.effects_of(&id, &content);
@@ -522,7 +522,7 @@
                 self.reached(n, &id);
                 self.on_front(n, |f, now, out| f.applied(now, id, Ok(()), out));
             }
-            front::Do::Keep(id, seal, content) => {
+            front::Effect::Keep(id, seal, content) => {
                 (self.hosts[n].good, self.hosts[n].staged) = (Some((id, seal, content)), None);
                 self.on_front(n, |f, now, out| f.kept(now, id, true, out));
             }
