Do not end a client's connection over a request that has begun to arrive

Cause: a connection without an open request counted as idle whatever had come on it, so half a request was ended to keep places free, after 2.4 s, for a shortage of descriptors and at the end of the program.

Change: a connection is at rest only if no byte of a request has come, part of a record's header included; only those are ended in silence. A request that is not whole after 2.4 s, at the hard stop, or when the bound is exceeded and nothing is at rest, is declined with 503 before its connection ends: nothing of it was pushed. How connections end is a module of its own (reducer/client_ends.rs).

Tests of front and cli pass.

--- a/crates/cli/tests/crossing.rs
+++ b/crates/cli/tests/crossing.rs
@@ -14,9 +14,10 @@
 
 mod helper;
 
+use std::io::Write;
 use std::time::Duration;
 
-use doorgrade_standins::client::AccessRequest;
+use doorgrade_standins::client::{AccessRequest, request_bytes};
 use doorgrade_standins::shim::{Counter, Fault, Shim};
 use doorgrade_standins::{Client, Directory, Feed, Member, object_bytes};
 use helper::standins::{KEY, TIMEOUT, example_config, start_members};
@@ -110,6 +111,28 @@
     }
 }
 
+/// A connection on which half a request had come counted as idle, and was ended for new clients: 48 of 50 requests that were
+/// written in two pieces, 0.6 s apart, had no answer.
+#[test]
+fn a_request_written_in_two_pieces_gets_a_response_while_new_clients_need_places() {
+    let rig = Rig::start();
+    let mut slow = Client::connect(rig.front.address).unwrap();
+    let fields = [
+        ("SCRIPT_NAME", "/do/images"),
+        ("HTTP_REQ_ID", "00000000000000ff"),
+        ("HTTP_REQ_WAIT_MS", "2000"),
+        ("HTTP_REQ_KEY", KEY),
+    ];
+    let bytes = request_bytes(&fields, b"");
+    let (first, rest) = bytes.split_at(bytes.len() / 2);
+    let before = rig.shim.read(Counter::Received).unwrap();
+    slow.stream().write_all(first).unwrap();
+    rig.shim.wait_for(Counter::Received, before + 1, TIMEOUT).unwrap();
+    let _clients: Vec<_> = (0..2 * rig.max_clients()).map(|_| rig.idle_client()).collect();
+    slow.stream().write_all(rest).unwrap();
+    rig.expect_response(&mut slow);
+}
+
 #[test]
 fn a_request_sent_while_its_idle_connection_is_closed_gets_a_response() {
     let rig = Rig::start();
--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -96,6 +96,16 @@
         self.record.clear();
     }
 
+    /// Ends the requests that have not arrived completely, and discards all further data. Returns their ids, each
+    /// of which is owed a response.
+    pub fn cut_off(&mut self) -> Vec<u16> {
+        let partial = self.open.iter().filter(|(_, partial)| partial.is_some());
+        let mut ids: Vec<_> = partial.map(|(&id, _)| id).collect();
+        ids.sort_unstable();
+        self.discard_rest();
+        ids
+    }
+
     /// The request has been answered, or needs no response.
     pub fn finish(&mut self, id: u16) {
         self.open.remove(&id);
--- a/crates/front/src/reasons.rs
+++ b/crates/front/src/reasons.rs
@@ -130,6 +130,8 @@
     NoRoom,
     /// Its fields are invalid.
     Invalid,
+    /// It did not arrive completely in time, or before its connection was needed for another client.
+    Incomplete,
     /// By the decision module.
     Unserved(UnservedReason),
 }
@@ -140,6 +142,7 @@
             Rejection::ShuttingDown => f.write_str("no longer accepting requests"),
             Rejection::NoRoom => f.write_str("no room"),
             Rejection::Invalid => f.write_str("unusable"),
+            Rejection::Incomplete => f.write_str("not complete"),
             Rejection::Unserved(reason) => reason.fmt(f),
         }
     }
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -1,6 +1,7 @@
 //! The state machine of the front: takes one input, changes its state, and emits effects. No I/O.
 
 mod admission;
+mod client_ends;
 mod clients;
 mod control_feed;
 mod effects;
@@ -29,7 +30,8 @@
 use crate::push::{CacheConn, ConnState, Pools};
 use crate::reasons::{CacheEnd, ClientEnd, Counts, IoEnd};
 use crate::remote_times::{Arrival, RemoteTimes};
-use admission::{HalfCloseState, Shortage, Slots};
+use admission::{Shortage, Slots};
+use client_ends::HalfCloseState;
 use clients::Client;
 pub use doorgrade_control_client::Observation;
 use hierarchy::Hierarchy;
@@ -237,6 +239,7 @@
                 // Ends every open access before the hard stop.
                 if self.state.phase.deadline().is_some_and(|at| at <= self.state.now) {
                     self.front.stop(&mut self.state);
+                    self.state.decline_all_partial(ClientEnd::FrontEnds);
                 }
             }
         }
@@ -294,10 +297,10 @@
                 let open = state.accesses.values().filter(|a| !a.done).count();
                 tracing::info!("requests are declined; {open} open, {} clients", state.clients.len());
             }
-            // Idle connections, until the front exits. One with a partial request may still complete it.
-            let is_idle = |c: &Client| c.is_idle() && !c.intake.has_partial();
-            let idle: Vec<_> = state.clients.iter().filter(|(_, c)| is_idle(c)).map(|(&c, _)| c).collect();
-            idle.into_iter().for_each(|conn| state.half_close(conn, ClientEnd::FrontEnds));
+            // Connections at rest, until the front exits. One with a partial request may still complete it.
+            let at_rest = state.clients.iter().filter(|(_, c)| c.is_at_rest());
+            let at_rest: Vec<_> = at_rest.map(|(&conn, _)| conn).collect();
+            at_rest.into_iter().for_each(|conn| state.half_close(conn, ClientEnd::FrontEnds));
         }
         let open = state.accesses.values().any(|a| !a.done);
         let connected = !state.clients.is_empty() || state.listener != Listener::Closed;
@@ -339,7 +342,7 @@
             } else {
                 let idle = client.idle_since() + CLIENT_IDLE_TIMEOUT < now;
                 let reason = if idle { ClientEnd::Idle } else { ClientEnd::Unfinished };
-                self.state.half_close(conn, reason);
+                self.state.end_idle_client(conn, reason);
             }
         }
         self.state.resume_parked();
--- a/crates/front/src/reducer/admission.rs
+++ b/crates/front/src/reducer/admission.rs
@@ -1,17 +1,14 @@
 //! Admission of clients' connections, and which connections are closed to make room for others.
 //!
-//! The reducer never closes an idle connection at once, because data read from it may still be queued as an
-//! input. It requests a half-close from the connection's coroutine, which carries it out only if no data has
-//! arrived; the connection is closed after that.
-//!
 //! Each accepted connection is read at once, also beyond the bound: what the system has accepted and nobody
 //! reads can't be answered. Requests on a connection beyond the bound are declined as long as no other makes
 //! room.
 
 use doorgrade::Ticks;
 
+use super::client_ends::HalfCloseState;
 use super::clients::Client;
-use super::{Effect, HALF_CLOSE_TIMEOUT, State, Timer, trace};
+use super::{Effect, State, trace};
 use crate::bounds;
 use crate::conn::ConnId;
 use crate::reasons::ClientEnd;
@@ -28,17 +25,6 @@
 /// Failures further apart than this belong to different shortages.
 const SHORTAGE_GAP: Ticks = 1_000;
 
-/// The progress of the half-close of a client's connection.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum HalfCloseState {
-    #[default]
-    Open,
-    /// The half-close was requested from the coroutine, which carries it out unless data has arrived.
-    Requested(ClientEnd),
-    /// The sending side was shut down at this time; further data is discarded.
-    ShutDown(Ticks),
-}
-
 /// The slots for clients, beside the bound of the present configuration.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Slots {
@@ -55,6 +41,8 @@
     AtRest,
     /// It is new, and its first request is expected.
     New,
+    /// A request has begun to arrive on it.
+    Partial,
 }
 
 /// A shortage of descriptors or memory for connections: when it began, and the last failure because of it.
@@ -115,8 +103,8 @@
         if excess == 0 {
             return;
         }
-        let half_closing = self.clients.values().filter(|c| c.half_close != HalfCloseState::Open).count();
-        for _ in half_closing..excess {
+        let ending = self.clients.values().filter(|c| c.is_ending()).count();
+        for _ in ending..excess {
             if self.evict_client().is_none() {
                 return;
             }
@@ -134,30 +122,36 @@
 
     /// Whether a connection is ending, or may be closed to make room for others.
     fn makes_room(&self) -> bool {
-        let is_ending = |c: &Client| c.half_close != HalfCloseState::Open;
-        self.clients.iter().any(|(&conn, c)| is_ending(c) || self.eviction(conn, c).is_some())
+        self.clients.iter().any(|(&conn, c)| c.is_ending() || self.eviction(conn, c).is_some())
     }
 
     /// Whether a connection may be closed to make room for others: no response is owed on it.
     fn eviction(&self, conn: ConnId, client: &Client) -> Option<Eviction> {
-        if client.half_close != HalfCloseState::Open || !client.is_at_rest() {
+        if client.is_ending() || !client.is_idle() {
             return None;
         }
-        if !client.expects_first_byte(self.now) {
+        let at_rest = client.is_at_rest();
+        if at_rest && !client.expects_first_byte(self.now) {
             return Some(Eviction::AtRest);
         }
         let is_newest = conn + SPARE_SLOTS as ConnId > self.slots.newest;
-        (self.clients.len() > self.bounds.clients && !is_newest).then_some(Eviction::New)
+        if is_newest || self.clients.len() <= self.bounds.clients {
+            return None;
+        }
+        Some(if at_rest { Eviction::New } else { Eviction::Partial })
     }
 
-    /// Half-closes the connection that may be closed first and has been idle longest.
+    /// Ends the connection that may be closed first and has been idle longest.
     fn evict_client(&mut self) -> Option<()> {
         let evictable = self.clients.iter().filter_map(|(&conn, c)| {
             let eviction = self.eviction(conn, c)?;
             Some((eviction, c.idle_since(), conn))
         });
-        let (_, _, conn) = evictable.min()?;
-        self.half_close(conn, ClientEnd::Evicted);
+        let (eviction, _, conn) = evictable.min()?;
+        match eviction {
+            Eviction::Partial => self.decline_partial(conn, ClientEnd::Evicted),
+            Eviction::AtRest | Eviction::New => self.half_close(conn, ClientEnd::Evicted),
+        }
         Some(())
     }
 
@@ -190,22 +184,4 @@
             let _ = self.close_idle_cache_conn();
         }
     }
-
-    /// Half-closes a client's connection. It is closed when the client has closed it, too, or after a
-    /// timeout.
-    pub(super) fn half_close(&mut self, conn: ConnId, reason: ClientEnd) {
-        if let Some(client) = self.clients.get_mut(&conn).filter(|c| c.half_close == HalfCloseState::Open) {
-            client.half_close = HalfCloseState::Requested(reason);
-            tracing::debug!(connection = trace::number(conn), "a client's connection is to end: {reason}");
-            self.effects.push(Effect::HalfClose(conn, client.intake.discarding));
-        }
-    }
-
-    pub(super) fn half_closed(&mut self, conn: ConnId) {
-        if let Some(client) = self.clients.get_mut(&conn) {
-            client.half_close = HalfCloseState::ShutDown(self.now);
-            self.timers.set(self.now + HALF_CLOSE_TIMEOUT, Timer::HalfCloseTimeout(conn));
-            self.free_slots();
-        }
-    }
 }
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -3,7 +3,8 @@
 use doorgrade::{Access, AccessId, Ticks};
 use rustc_hash::FxHashMap;
 
-use super::admission::{FIRST_BYTE_TIMEOUT, HalfCloseState};
+use super::admission::FIRST_BYTE_TIMEOUT;
+use super::client_ends::HalfCloseState;
 use super::{Effect, OpenAccess, Reducer, State};
 use crate::answer::{Outbox, Reply};
 use crate::bounds;
@@ -26,8 +27,8 @@
     pub(super) last_write: Ticks,
     pub(super) outbox: Outbox,
     pub(super) accesses: FxHashMap<u16, AccessId>,
-    /// The connection is closed once its open requests have been answered.
-    pub(super) close_when_done: bool,
+    /// Why the connection is closed once its open requests have been answered, if it is.
+    pub(super) ending: Option<ClientEnd>,
     /// The progress of its half-close.
     pub(super) half_close: HalfCloseState,
     /// It was accepted beyond the bound, and no other connection has made room for it since.
@@ -47,7 +48,7 @@
             last_write: now,
             outbox: Outbox::default(),
             accesses: FxHashMap::default(),
-            close_when_done: false,
+            ending: None,
             half_close: HalfCloseState::Open,
             over_limit: false,
         }
@@ -59,9 +60,14 @@
         self.accesses.is_empty() && self.outbox.is_empty() && self.writing.is_none()
     }
 
-    /// No request is open: closing the connection loses nothing.
+    /// No response is owed and no request has begun to arrive: closing the connection loses nothing.
     pub(super) fn is_at_rest(&self) -> bool {
-        self.is_idle()
+        self.is_idle() && !self.intake.has_partial()
+    }
+
+    /// No request is taken from it any more, and none is open.
+    pub(super) fn is_ending(&self) -> bool {
+        self.half_close != HalfCloseState::Open || self.intake.discarding && self.accesses.is_empty()
     }
 
     /// It is new, and its first request may be on its way.
@@ -147,7 +153,13 @@
         if client.request_since.is_none() && (client.intake.has_partial() || !buffer.is_empty()) {
             client.request_since = Some(self.state.now);
         }
-        client.close_when_done |= client.intake.close_when_done;
+        if client.intake.close_when_done {
+            let discarding = client.intake.discarding;
+            client.ending.get_or_insert(match discarding {
+                true => ClientEnd::InvalidData,
+                false => ClientEnd::LastRequest,
+            });
+        }
         buffer.release_if_empty();
         self.state.effects.push(Effect::Read(conn, buffer));
         self.state.half_close_if_done(conn);
@@ -213,8 +225,8 @@
             state.served.ended += 1;
             let reason = if room { Rejection::ShuttingDown } else { Rejection::NoRoom };
             state.trace_rejection(&request.id, 503, reason);
-            if over_limit {
-                state.close_when_done(conn);
+            if let Some(client) = state.clients.get_mut(&conn).filter(|_| over_limit) {
+                client.ending.get_or_insert(ClientEnd::Evicted);
             }
             return state.reply(conn, id, Reply::empty(503));
         }
@@ -300,24 +312,6 @@
 }
 
 impl State {
-    /// Half-closes a connection that was to be closed after its open requests, once none is open.
-    fn half_close_if_done(&mut self, conn: ConnId) {
-        let is_done = |c: &Client| {
-            c.close_when_done && c.intake.open() == 0 && c.outbox.is_empty() && c.writing.is_none()
-        };
-        if self.clients.get(&conn).is_some_and(is_done) {
-            let discarding = self.clients.get(&conn).is_some_and(|c| c.intake.discarding);
-            self.half_close(conn, if discarding { ClientEnd::InvalidData } else { ClientEnd::LastRequest });
-        }
-    }
-
-    /// The connection is closed once its open requests have been answered.
-    fn close_when_done(&mut self, conn: ConnId) {
-        if let Some(client) = self.clients.get_mut(&conn) {
-            client.close_when_done = true;
-        }
-    }
-
     /// Logs a client's misbehaviour, at most once a second, so that clients can't flood the log.
     pub(super) fn warn_limited(&mut self, problem: &str) {
         self.unlogged_warnings += 1;
--- a/crates/front/tests/helper/actions.rs
+++ b/crates/front/tests/helper/actions.rs
@@ -26,6 +26,20 @@
         key: u64,
         wait_ms: u64,
     ) {
+        let bytes = self.new_request(conn, id, access, offering, key, wait_ms);
+        self.send(conn, &bytes);
+    }
+
+    /// The bytes of a request that a client is about to send.
+    pub fn new_request(
+        &mut self,
+        conn: ConnId,
+        id: u16,
+        access: u64,
+        offering: usize,
+        key: u64,
+        wait_ms: u64,
+    ) -> Vec<u8> {
         let body = if offering == 2 { vec![7; self.rng.usize(..48_000)] } else { Vec::new() };
         let mut fields = access_fields(access, key, wait_ms);
         fields.extend(repeat_id(offering, access).map(|m| ("Req-Token", m)));
@@ -45,7 +59,12 @@
             first_unproved_at,
         };
         self.accesses.insert(access, tracked);
-        self.send(conn, &bytes);
+        bytes
+    }
+
+    /// The statuses of responses to requests that are not tracked.
+    pub fn stray_statuses(&self) -> &[u16] {
+        &self.stray_statuses
     }
 
     pub fn abort(&mut self, access: u64) {
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -23,6 +23,23 @@
     [&[1, kind, 0, 1, high, low, 0, 0], content].concat()
 }
 
+/// The bytes of a request with these FastCGI parameters.
+pub fn request_bytes(params: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut pairs = Vec::new();
+    for (name, value) in params {
+        pairs.extend([name.len() as u8, value.len() as u8]);
+        pairs.extend_from_slice(name.as_bytes());
+        pairs.extend_from_slice(value.as_bytes());
+    }
+    let mut bytes = record(BEGIN_REQUEST, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    bytes.extend([record(PARAMS, &pairs), record(PARAMS, &[])].concat());
+    for piece in body.chunks(0xffff) {
+        bytes.extend(record(STDIN, piece));
+    }
+    bytes.extend(record(STDIN, &[]));
+    bytes
+}
+
 /// An access to an object, as a web server requests it.
 #[derive(Clone, Debug)]
 pub struct AccessRequest<'a> {
@@ -44,19 +61,7 @@
 
     /// Sends a request with these FastCGI parameters.
     pub fn send(&mut self, params: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
-        let mut pairs = Vec::new();
-        for (name, value) in params {
-            pairs.extend([name.len() as u8, value.len() as u8]);
-            pairs.extend_from_slice(name.as_bytes());
-            pairs.extend_from_slice(value.as_bytes());
-        }
-        let mut bytes = record(BEGIN_REQUEST, &[0, 1, 1, 0, 0, 0, 0, 0]);
-        bytes.extend([record(PARAMS, &pairs), record(PARAMS, &[])].concat());
-        for piece in body.chunks(0xffff) {
-            bytes.extend(record(STDIN, piece));
-        }
-        bytes.extend(record(STDIN, &[]));
-        self.0.write_all(&bytes)
+        self.0.write_all(&request_bytes(params, body))
     }
 
     /// The connection, for tests that send or read raw bytes.
