Hear a feed that is slower than the heartbeat timeout: keep the silent connection

Cause: a connection to the feed was given up 2.5 s after it was made and the next began anew; each attempt to connect had the settings' time for caches. Neither changed from try to try.

Change: silence of 2.5 s begins another connection beside the silent one, three established at the most; the first to bring a frame is kept (feed_connections.rs). An attempt to connect that used up its time gets one of 10 s beside the next. After 7 s without a frame the log says that the list may be out of date. Eighteen descriptors are reserved, for up to five connections to the feed.

Tests of front and cli pass.

--- a/crates/front/src/bounds.rs
+++ b/crates/front/src/bounds.rs
@@ -16,8 +16,8 @@
 /// The fewest connections of each kind, however little memory there is or however few descriptors.
 const MIN_CONNS: usize = 4;
 /// Descriptors of neither clients nor caches. Standard streams, epoll and its event, signals, and the listener
-/// take ten, the feed four at the most; some more are being closed.
-const RESERVED_SOCKETS: usize = 17;
+/// take ten, the feed five at the most; some more are being closed.
+const RESERVED_SOCKETS: usize = 18;
 /// Places for clients beyond the third of the descriptors that they may hold by the protocol: connections that
 /// are ending still have a place.
 const EXTRA_CLIENTS: usize = 4;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fastcgi;
 pub mod feed;
 pub mod feed_connection;
+pub mod feed_connections;
 pub mod http;
 pub mod intake;
 pub mod phase;
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -24,7 +24,7 @@
 use crate::config::Config;
 use crate::conn::ConnId;
 use crate::feed;
-use crate::feed_connection::FeedConnection;
+use crate::feed_connections::FeedConnections;
 use crate::intake::Request;
 use crate::phase::Phase;
 use crate::push::{CacheConn, ConnState, Pools};
@@ -77,7 +77,8 @@
                 cache_conns: FxHashMap::default(),
                 pools: Pools::default(),
                 endpoints: FxHashMap::default(),
-                feed: FeedConnection::new(last, now),
+                feed: FeedConnections::new(last, platform.connect_timeout, now),
+                connect_timeout: platform.connect_timeout,
                 accesses: FxHashMap::default(),
                 access_by_id: FxHashMap::default(),
                 next_access: 0,
@@ -156,14 +157,14 @@
                 self.state.timers.set(self.state.now + SWEEP_INTERVAL, Timer::Sweep);
             }
             Input::Accepted(conn, waiting_since) => self.state.accepted(conn, waiting_since),
-            Input::Connected(conn, result) if self.state.feed.conn == Some(conn) => {
+            Input::Connected(conn, result) if self.state.feed.contains(conn) => {
                 self.state.feed_connected(conn, result);
             }
             Input::Connected(conn, result) => self.state.connected(conn, result),
             Input::Read { conn, buffer, ended, received_at } if self.state.clients.contains_key(&conn) => {
                 self.client_read(conn, buffer, ended, received_at);
             }
-            Input::Read { conn, buffer, ended, .. } if self.state.feed.conn == Some(conn) => {
+            Input::Read { conn, buffer, ended, .. } if self.state.feed.contains(conn) => {
                 self.feed_read(conn, buffer, ended);
             }
             Input::Read { conn, buffer, ended, .. } => self.state.cache_read(conn, buffer, ended),
@@ -314,10 +315,7 @@
         let state = &mut self.state;
         let now = state.now;
         state.timers.set(now + SWEEP_INTERVAL, Timer::Sweep);
-        if state.feed.up && state.feed.received_at + FeedConnection::TIMEOUT < now {
-            tracing::info!("feed: silent");
-            state.lose_feed();
-        }
+        state.check_feed();
         let idle = state.idle_timeout * 3 / 4;
         let is_old = |c: &CacheConn| c.state == ConnState::Idle && c.since + idle < now;
         let old: Vec<_> =
@@ -369,10 +367,10 @@
         Some(timer)
     }
 
-    fn connect(&mut self, address: SocketAddr) -> ConnId {
+    fn connect(&mut self, address: SocketAddr, timeout: Ticks) -> ConnId {
         let conn = self.next_conn;
         self.next_conn += 1;
-        self.effects.push(Effect::Connect(conn, address));
+        self.effects.push(Effect::Connect(conn, address, timeout));
         conn
     }
 
--- a/crates/front/src/reducer/control_feed.rs
+++ b/crates/front/src/reducer/control_feed.rs
@@ -9,6 +9,7 @@
 use crate::config::ReloadedConfig;
 use crate::conn::ConnId;
 use crate::feed;
+use crate::feed_connections::Freshness;
 use crate::intake::Request;
 use crate::push::{self, Endpoint};
 use crate::reasons::{CacheEnd, IoEnd};
@@ -70,32 +71,72 @@
 
     pub(super) fn feed_read(&mut self, conn: ConnId, mut buffer: RingBuffer, ended: Option<IoEnd>) {
         loop {
-            match self.state.feed.next_event(&mut buffer, &self.state.names, self.state.now) {
-                Ok(Some(event)) => self.feed_event(event, self.state.feed.arrival()),
+            let State { feed, names, now, .. } = &mut self.state;
+            let Some((connection, position)) = feed.get_mut(conn) else { return };
+            match connection.next_event(position, &mut buffer, names, *now) {
+                Ok(Some(event)) => {
+                    let arrival = connection.arrival(position);
+                    self.feed_event(event, arrival);
+                }
                 Ok(None) => break,
                 Err(feed::Malformed(what)) => {
                     tracing::warn!(
                         "feed: {what} is malformed; reconnecting, last event {}",
-                        self.state.feed.last_event
+                        position.last_event
                     );
-                    return self.state.lose_feed();
+                    return self.state.lose_feed(conn);
                 }
             }
         }
+        self.state.feed_heard(conn);
         if let Some(end) = ended {
             tracing::info!("feed: connection lost: {end}");
-            self.state.lose_feed();
+            self.state.lose_feed(conn);
         } else {
+            buffer.release_if_empty();
             self.state.effects.push(Effect::Read(conn, buffer));
         }
     }
 }
 
+fn log_freshness(freshness: &Freshness) {
+    match freshness {
+        Freshness::Stale(silence) => tracing::warn!(
+            "feed: nothing heard for {} ms; the list of caches and the purges may be out of date",
+            silence / 10
+        ),
+        Freshness::Fresh(silence) => tracing::info!("feed: heard again after {} ms", silence / 10),
+    }
+}
+
 impl State {
     pub(super) fn connect_feed(&mut self) {
-        if self.feed.conn.is_none() && !self.phase.exited() {
-            self.feed.conn = Some(self.connect(self.feed_address));
+        while !self.phase.exited()
+            && let Some(attempt) = self.feed.next_attempt(self.now)
+        {
+            let conn = self.connect(self.feed_address, attempt.timeout);
+            self.feed.begin(conn, attempt, self.now);
+        }
+    }
+
+    /// Makes another connection if none has brought a frame lately, and reports if what is known is old.
+    pub(super) fn check_feed(&mut self) {
+        if self.feed.has_only_silent(self.now) {
+            tracing::info!("feed: silent");
+        }
+        self.connect_feed();
+        let freshness = self.feed.check_freshness(self.now);
+        freshness.iter().for_each(log_freshness);
+    }
+
+    /// If a connection has brought a frame, the others are closed.
+    fn feed_heard(&mut self, conn: ConnId) {
+        if !self.feed.get_mut(conn).is_some_and(|(connection, _)| connection.take_heard()) {
+            return;
         }
+        let (others, freshness) = self.feed.heard(conn, self.now);
+        others.into_iter().for_each(|other| self.close(other));
+        freshness.iter().for_each(log_freshness);
     }
 
     /// Events that were sent but not read yet are sent again: the new connection starts after the last event
@@ -106,33 +147,31 @@
         self.apply_shape(&config.files.shape, config.full_shape);
         tracing::info!("configuration reloaded; bounds: {:?}; feed at {}", self.bounds, config.feed);
         if std::mem::replace(&mut self.feed_address, config.feed) != config.feed {
-            // A connection that is still being established is closed once it is up.
-            if let Some(conn) = self.feed.conn.filter(|_| self.feed.up) {
-                self.close(conn);
-            }
-            self.feed.moved();
+            // Connections that are still being established are closed once they are up.
+            let established = self.feed.moved(self.now);
+            established.into_iter().for_each(|conn| self.close(conn));
             self.connect_feed();
         }
     }
 
     pub(super) fn feed_connected(&mut self, conn: ConnId, result: ConnectResult) {
         if result != ConnectResult::Connected {
-            let delay = self.feed.lost();
-            return self.timers.set(self.now + delay, Timer::FeedConnect);
+            let at = self.feed.lost(conn, self.now);
+            return self.timers.set(at, Timer::FeedConnect);
         }
-        tracing::info!("feed: connected; last event {}", self.feed.last_event);
-        let mut buffer = RingBuffer::new(8);
-        buffer.put(&self.feed.connected(self.now));
+        let Some((bytes, excess)) = self.feed.established(conn, self.now) else { return };
+        excess.into_iter().for_each(|excess| self.close(excess));
+        tracing::info!("feed: connected; last event {}", self.feed.position.last_event);
+        let mut buffer = RingBuffer::new(bytes.len());
+        buffer.put(&bytes);
         self.effects.push(Effect::Write(conn, buffer));
         self.effects.push(Effect::Read(conn, RingBuffer::new(bounds::FEED_IN)));
     }
 
-    pub(super) fn lose_feed(&mut self) {
-        if let Some(conn) = self.feed.conn {
-            self.close(conn);
-        }
-        let delay = self.feed.lost();
-        self.timers.set(self.now + delay, Timer::FeedConnect);
+    fn lose_feed(&mut self, conn: ConnId) {
+        self.close(conn);
+        let at = self.feed.lost(conn, self.now);
+        self.timers.set(at, Timer::FeedConnect);
     }
 
     /// Applies the list, and returns the members that have restarted or have another address.
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -311,7 +311,7 @@
         if no_descriptor {
             self.close_idle_cache_conn()?;
         }
-        let conn = self.connect(endpoint.address);
+        let conn = self.connect(endpoint.address, self.connect_timeout);
         self.cache_conns.insert(conn, CacheConn::new(cache, endpoint, (access, push), self.now));
         self.peaks.lines = self.peaks.lines.max(self.cache_conns_used());
         if let Some(sent) = self.accesses.get_mut(&access).and_then(|a| a.pushes.get_mut(push)) {
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -18,7 +18,7 @@
 use crate::config::ReloadedConfig;
 use crate::conn::{ConnId, SendConditions};
 use crate::feed::ZoneAndKindNames;
-use crate::feed_connection::FeedConnection;
+use crate::feed_connections::FeedConnections;
 use crate::intake::Request;
 use crate::phase::Phase;
 use crate::push::{CacheConn, Endpoint, Pools, PushEnd};
@@ -74,7 +74,8 @@
 /// One action for the caller to carry out.
 #[derive(Debug)]
 pub enum Effect {
-    Connect(ConnId, SocketAddr),
+    /// Connects, within this time.
+    Connect(ConnId, SocketAddr, Ticks),
     Read(ConnId, RingBuffer),
     Write(ConnId, RingBuffer),
     /// Writes the start of a request, only if the connection is still good and the response is still wanted.
@@ -193,7 +194,9 @@
     pub(super) cache_conns: FxHashMap<ConnId, CacheConn>,
     pub(super) pools: Pools,
     pub(super) endpoints: FxHashMap<u32, Endpoint>,
-    pub(super) feed: FeedConnection,
+    pub(super) feed: FeedConnections,
+    /// The settings' time for connecting to a cache.
+    pub(super) connect_timeout: Ticks,
     pub(super) accesses: FxHashMap<AccessId, OpenAccess>,
     /// The last access with each id given by a client.
     pub(super) access_by_id: FxHashMap<u64, AccessId>,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -66,7 +66,6 @@
     let (listen, name) = (config.listen, config.name.clone());
     let recalled = exchange_setup.as_ref().map(ExchangeSetup::remembered);
     let homes = exchange_setup.as_ref().and_then(ExchangeSetup::homes);
-    let connect_timeout = Duration::from_micros(config.platform.connect_timeout * 100);
     let served = Arc::new(ServedTotals::default());
     let mut driver = Driver {
         reducer: Reducer::new(config, clock::now()),
@@ -74,7 +73,6 @@
         acceptor: None,
         stop_requested: stop,
         queue: EventQueue::default(),
-        connect_timeout,
         events,
         effects: Vec::new(),
         read_conn: None,
@@ -200,7 +198,6 @@
     /// SIGTERM has arrived, while the signal thread may still be reading files.
     stop_requested: Arc<AtomicBool>,
     queue: EventQueue,
-    connect_timeout: Duration,
     events: Sender<Event>,
     /// Reused for the effects of each input.
     effects: Vec<Effect>,
@@ -220,6 +217,7 @@
 /// an unsent batch than by the time since the last snapshot.
 const MAX_LEARNED_BATCH: usize = 256;
 const LEARNED_INTERVAL: Ticks = 2_500;
+const MICROSECONDS_PER_TICK: u64 = 100;
 
 impl Driver {
     fn run(&mut self, received: &Receiver<Event>) {
@@ -265,7 +263,7 @@
         }
         let event = match self.reducer.next_tick() {
             Some(at) if at <= now => received.try_recv().map_err(|_| RecvTimeoutError::Timeout),
-            Some(at) => received.recv_timeout(Duration::from_micros((at - now) * 100)),
+            Some(at) => received.recv_timeout(Duration::from_micros((at - now) * MICROSECONDS_PER_TICK)),
             None => received.recv().map_err(|_| RecvTimeoutError::Disconnected),
         };
         event.ok()
@@ -349,8 +347,9 @@
 
     fn perform_one(&mut self, effect: Effect) -> bool {
         match effect {
-            Effect::Connect(conn, address) => {
-                conn::connect(conn, address, self.connect_timeout, self.events.clone())
+            Effect::Connect(conn, address, timeout) => {
+                let timeout = Duration::from_micros(timeout * MICROSECONDS_PER_TICK);
+                conn::connect(conn, address, timeout, self.events.clone());
             }
             Effect::Read(conn, buffer) => self.with_handle(conn, |handle| handle.read(buffer)),
             Effect::Write(conn, buffer) => self.with_handle(conn, |handle| handle.write(buffer)),
--- a/crates/front/tests/helper/actions.rs
+++ b/crates/front/tests/helper/actions.rs
@@ -127,10 +127,21 @@
         }
     }
 
+    /// The established connections to a port, the oldest first.
+    pub fn conns_to(&self, port: u16) -> Vec<ConnId> {
+        self.conns.iter().filter(|(_, c)| c.port == Some(port) && c.up).map(|(&conn, _)| conn).collect()
+    }
+
     pub fn port_of(&self, conn: ConnId) -> u16 {
         self.conns[&conn].port.unwrap_or(0)
     }
 
+    /// A connection was not established in its time.
+    pub fn time_out_connect(&mut self, conn: ConnId) {
+        self.conns.remove(&conn);
+        self.input(Input::Connected(conn, ConnectResult::Unreachable));
+    }
+
     /// A connection fails for lack of resources on this machine.
     pub fn fail_locally(&mut self, conn: ConnId) {
         self.conns.remove(&conn);
