Let a new connection wait 20 ms for its first byte, and end the one idle longest first

New silent connections were spared for 0.1 s, so connections at rest that clients still use were ended in their place.

Change: a new connection is spared for 20 ms, and among those at rest the one idle longest is ended first, new or not.

--- a/crates/front/src/reducer/admission.rs
+++ b/crates/front/src/reducer/admission.rs
@@ -18,7 +18,7 @@
 /// bound.
 const SPARE_SLOTS: usize = 2;
 /// How long a new connection without a byte is left alone: its first request is on its way.
-pub(super) const FIRST_BYTE_TIMEOUT: Ticks = 1_000;
+pub(super) const FIRST_BYTE_TIMEOUT: Ticks = 200;
 /// A shortage of descriptors or memory that lasts less than this is expected to pass: no connection is closed
 /// for it.
 const MIN_SHORTAGE: Ticks = 200;
@@ -34,13 +34,11 @@
     newest: ConnId,
 }
 
-/// In which order connections are closed to make room for others.
+/// How a connection is ended to make room for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Eviction {
-    /// It is at rest, and no request is expected on it.
+    /// It is at rest.
     AtRest,
-    /// It is new, and its first request is expected.
-    New,
     /// A request has begun to arrive on it.
     Partial,
 }
@@ -138,10 +136,11 @@
         if is_newest || self.clients.len() <= self.bounds.clients {
             return None;
         }
-        Some(if at_rest { Eviction::New } else { Eviction::Partial })
+        Some(if at_rest { Eviction::AtRest } else { Eviction::Partial })
     }
 
-    /// Ends the connection that may be closed first and has been idle longest.
+    /// Ends the connection that has been idle longest. Requests that have begun to arrive are declined only where
+    /// nothing is at rest.
     fn evict_client(&mut self) -> Option<()> {
         let evictable = self.clients.iter().filter_map(|(&conn, c)| {
             let eviction = self.eviction(conn, c)?;
@@ -150,7 +149,7 @@
         let (eviction, _, conn) = evictable.min()?;
         match eviction {
             Eviction::Partial => self.decline_partial(conn, ClientEnd::Evicted),
-            Eviction::AtRest | Eviction::New => self.half_close(conn, ClientEnd::Evicted),
+            Eviction::AtRest => self.half_close(conn, ClientEnd::Evicted),
         }
         Some(())
     }
