--- a/crates/front/tests/codecs.rs
+++ b/crates/front/tests/codecs.rs
@@ -390,14 +390,3 @@
         assert!(b.clients >= 4 && b.lines >= 4);
     }
 }
-
-/// With 32 MB and 1,024 descriptors there were 26 places for clients, who may hold a third of the descriptors.
-#[test]
-fn clients_have_a_place_for_each_descriptor_that_they_may_hold() {
-    for memory_mb in [32, 48, 64, 192] {
-        for sockets in [256, 512, 640, 1024] {
-            let b = Bounds::new(&Limits { memory_mb, sockets });
-            assert!(b.clients > sockets / 3, "{memory_mb} MB, {sockets} descriptors: {b:?}");
-        }
-    }
-}
--- a/crates/front/tests/slow_clients.rs
+++ b/crates/front/tests/slow_clients.rs
@@ -137,3 +137,14 @@
     assert!((1..=3).contains(&w.stray_statuses().len()), "{:?}", w.stray_statuses());
     assert!(w.stray_statuses().iter().all(|&status| status == 503));
 }
+
+/// With 32 MB and 1,024 descriptors there were 26 places for clients, who may hold a third of the descriptors.
+#[test]
+fn clients_have_a_place_for_each_descriptor_that_they_may_hold() {
+    for memory_mb in [32, 48, 64, 192] {
+        for sockets in [256, 512, 640, 1024] {
+            let b = Bounds::new(&Limits { memory_mb, sockets });
+            assert!(b.clients > sockets / 3, "{memory_mb} MB, {sockets} descriptors: {b:?}");
+        }
+    }
+}
