Test: wait for the decision to close in the log, which is read by another thread

The test saw that the coroutines' thread was held (shared memory) and looked once for the decision in the front's log. A held thread does not say that the main thread has decided yet, and the log comes through a pipe and a thread of the test that may be behind.

--- a/crates/cli/tests/crossing.rs
+++ b/crates/cli/tests/crossing.rs
@@ -182,7 +182,8 @@
         new_client
     };
     rig.shim.wait_for(Counter::IoHeld, 1, TIMEOUT).unwrap();
-    assert!(rig.logged("others need its place"));
+    // The coroutines' thread may be held, and the log's reader behind, before the decision to close is in the log.
+    wait_until("the front decides to close the connection", || rig.logged("others need its place"));
     longest_idle.send_access(&ACCESS).unwrap();
     std::thread::sleep(LINGER);
     rig.shim.set(Fault::HoldIo, 0).unwrap();
