--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -126,7 +126,10 @@
                 self.fleet.on_exited(now(), &name, process, exit, effects);
             }
             Event::Request { request, response } => {
-                let _ = response.send(self.on_request(request, effects));
+                let answer = self.on_request(request, effects);
+                // First, since an order that was accepted must outlive this agent: it is in the journal by then.
+                self.perform(std::mem::take(effects));
+                let _ = response.send(answer);
             }
             Event::Watch(watcher) => {
                 self.watchers.retain(|w| !w.is_closed());
