Log: purges as they are told, and when the copy of an answer was made

The log of a front could not tell which answer came from a copy that a purge had made out of date: neither the purge nor the age of the copy was in it. Both are events of level debug now: "purge of object ..." with ago_ms, and made_at_ms at the end of an attempt.

--- a/crates/front/src/reducer/control_feed.rs
+++ b/crates/front/src/reducer/control_feed.rs
@@ -51,6 +51,7 @@
     /// Applies a purge; `at` is a time of this process.
     fn apply_purge(&mut self, object: Option<u64>, group: u64, at: Ticks) {
         let now = self.state.now;
+        self.state.trace_purge(object, group, at);
         self.front.purge_received(now, object, group, now.saturating_sub(at));
         let concerns = |r: &Request| object.map_or(r.group == group, |o| r.object == o);
         self.state.invalidate_pushes(|open_access, _| concerns(&open_access.request));
--- a/crates/front/src/reducer/trace.rs
+++ b/crates/front/src/reducer/trace.rs
@@ -1,7 +1,7 @@
 //! Log events about single requests and about ends of connections. Ordinary events are logged at level debug;
 //! what should never happen is a warning. The counts of each reason are logged every ten seconds.
 
-use doorgrade::AccessId;
+use doorgrade::{AccessId, Ticks};
 
 use super::{OpenAccess, State};
 use crate::accept;
@@ -40,6 +40,15 @@
         tracing::debug!(request, connection, offering = open_access.request.offering, "request taken");
     }
 
+    /// A purge was received that took place at this time of this process.
+    pub(super) fn trace_purge(&self, object: Option<u64>, group: u64, at: Ticks) {
+        let ago_ms = self.now.saturating_sub(at) / 10;
+        match object {
+            Some(object) => tracing::debug!(ago_ms, "purge of object {object:016x}"),
+            None => tracing::debug!(ago_ms, "purge of group {group}"),
+        }
+    }
+
     /// A push is sent: logs its number and the outcome of the push before it.
     pub(super) fn trace_push(&mut self, access: AccessId, cache: &str, source: &str) {
         let Some(open_access) = self.accesses.get(&access) else { return };
@@ -68,6 +77,7 @@
             ?outcome,
             status,
             ?note,
+            made_at_ms = push_end.origin_sent_ms,
             "attempt ended"
         );
     }
