Ask for copies younger than a purge for as long as the purge is remembered

Cause: the bound ended purgeDone (6 s) after the purge, since caches have dropped their older copies by then. One that hung as the purge came had not. The rule knows no such end.

Change: a purge binds as long as it is remembered: the last 16,384, each for purgeDone at least. The cost is a header, and that copies made between a purge and its telling are refused once more.

--- a/src/control/fills.rs
+++ b/src/control/fills.rs
@@ -11,7 +11,9 @@
     pub(super) const MAX_FILL_RECORDS: usize = 1 << 16;
     /// A copy that this front has seen no access to for this long is taken for evicted: 5 s.
     const UNUSED_COPY_TICKS: Ticks = 50_000;
-    /// Copies from before a purge are refused for this much longer than `purge_propagation`: 1 ms.
+    /// The most purges remembered that have had time to reach all caches: some 15 minutes at 18 a second.
+    const MAX_PURGE_RECORDS: usize = 1 << 14;
+    /// How much longer than `purge_propagation` each purge is remembered at least: 1 ms.
     const PURGE_MARGIN_TICKS: Ticks = 10;
 
     /// Records an access, and estimates the state of the zone's copies: whether the caches most likely have
@@ -21,7 +23,7 @@
         if uncacheable {
             return (false, 0, false);
         }
-        let purged_at = self.purged_at(now, access).unwrap_or(0);
+        let purged_at = self.purged_at(access).unwrap_or(0);
         let key = (access.object, access.part);
         if let Some(fill) = self.fills.get_mut(&key) {
             let fresh_left = (fill.filled_at + fresh_time).saturating_sub(now);
@@ -61,14 +63,15 @@
         let key = (object.is_some(), object.unwrap_or(group));
         let latest = self.purges.get(&key).map_or(purged_at, |&known| purged_at.max(known));
         self.purges.insert(key, latest);
-        self.purges.evict_while(|_, &at| at + self.purge_propagation + Self::PURGE_MARGIN_TICKS < now);
+        self.purges.evict_while(|count, &at| {
+            count > Self::MAX_PURGE_RECORDS && at + self.purge_propagation + Self::PURGE_MARGIN_TICKS < now
+        });
     }
 
-    /// The latest purge of an access's object or group, if caches may still have older copies. They have none
-    /// once the purge has had time to reach them all.
-    pub(super) fn purged_at(&self, now: Ticks, access: &Access) -> Option<Ticks> {
-        let at =
-            self.purges.get(&(true, access.object)).max(self.purges.get(&(false, access.group))).copied();
-        at.filter(|at| now <= at + self.purge_propagation + Self::PURGE_MARGIN_TICKS)
+    /// The latest known purge of an access's object or group. It counts also once it has had time to reach all
+    /// caches: one that hung or was cut off meanwhile may still have an older copy.
+    pub(super) fn purged_at(&self, access: &Access) -> Option<Ticks> {
+        let (object, group) = ((true, access.object), (false, access.group));
+        self.purges.get(&object).max(self.purges.get(&group)).copied()
     }
 }
--- a/src/control/push.rs
+++ b/src/control/push.rs
@@ -20,7 +20,7 @@
             (offering.mean_transfer_time.max(1.0), offering.settings.uncacheable);
         const FRESHNESS_MARGIN: Ticks = 0; // copies serve up to the end of their fresh time
         let mut max_age = offering.settings.fresh_time.saturating_sub(FRESHNESS_MARGIN);
-        if let Some(purged_at) = self.purged_at(now, &access) {
+        if let Some(purged_at) = self.purged_at(&access) {
             // Once this front knows of a purge, it accepts nothing older. At least 1, since 0 would mean any
             // age.
             let since = now.saturating_sub(purged_at).max(1);
