Tests: an attempt starts when the front sends it, not when a stand-in reads it

Change: the preloaded library writes down when the front begins to send a request (the time before the call, server, Call-Id, path); both tests judge by that. The limits are the same. What the thread is held up between taking the time and the call is not seen.

--- a/crates/standins/src/shim.rs
+++ b/crates/standins/src/shim.rs
@@ -60,10 +60,33 @@
     DiskFailed = 41,
 }
 
+/// An HTTP request that the process has begun to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SentRequest {
+    /// Since the Unix epoch, in microseconds.
+    pub at_us: u64,
+    /// The port of the server.
+    pub port: u16,
+    /// The field `Call-Id`.
+    pub request_id: String,
+    pub path: String,
+}
+
+impl SentRequest {
+    /// Parses a line that the library has written.
+    fn parse(line: &str) -> Option<SentRequest> {
+        let mut words = line.split(' ');
+        let (at_us, port) = (words.next()?.parse().ok()?, words.next()?.parse().ok()?);
+        let (request_id, path) = (words.next()?.to_owned(), words.next()?.to_owned());
+        Some(SentRequest { at_us, port, request_id, path })
+    }
+}
+
 /// The faults of one process.
 pub struct Shim {
     slots: File,
     path: PathBuf,
+    sent_requests: PathBuf,
 }
 
 impl Shim {
@@ -74,7 +97,9 @@
         let path = std::env::temp_dir().join(format!("doorgrade-faults-{}-{number}", std::process::id()));
         let slots = OpenOptions::new().read(true).write(true).create(true).truncate(true).open(&path)?;
         slots.set_len((SLOT_COUNT * SLOT_BYTES) as u64)?;
-        let shim = Shim { slots, path };
+        let sent_requests = path.with_extension("sent");
+        File::create(&sent_requests)?;
+        let shim = Shim { slots, path, sent_requests };
         shim.set(Fault::Seed, seed as i64)?;
         Ok(shim)
     }
@@ -82,7 +107,19 @@
     /// The environment variables that the process needs.
     pub fn environment(&self) -> io::Result<Vec<(&'static str, OsString)>> {
         let library = library()?.as_os_str().to_owned();
-        Ok(vec![("LD_PRELOAD", library), ("DOORGRADE_FAULTS", self.path.as_os_str().to_owned())])
+        let path = |path: &Path| path.as_os_str().to_owned();
+        Ok(vec![
+            ("LD_PRELOAD", library),
+            ("DOORGRADE_FAULTS", path(&self.path)),
+            ("DOORGRADE_SENT_REQUESTS", path(&self.sent_requests)),
+        ])
+    }
+
+    /// The HTTP requests that the process has begun to send so far, in order. Their times are those of the process: a
+    /// server that runs late doesn't shift them.
+    pub fn sent_requests(&self) -> io::Result<Vec<SentRequest>> {
+        let log = std::fs::read_to_string(&self.sent_requests)?;
+        Ok(log.lines().filter_map(SentRequest::parse).collect())
     }
 
     pub fn set(&self, fault: Fault, value: i64) -> io::Result<()> {
@@ -114,6 +151,7 @@
 impl Drop for Shim {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.path);
+        let _ = std::fs::remove_file(&self.sent_requests);
     }
 }
 
