--- a/review/harness-2/rig.py
+++ b/review/harness-2/rig.py
@@ -469,6 +469,11 @@
     case = Case(Path(file).parent)
     code = NOT_RUN
 
+    def told_to_end(*_):
+        raise CannotRun("told to end")
+
+    signal.signal(signal.SIGTERM, told_to_end)
+
     def too_long():
         case.record("the case took too long")
         for started in case.processes:
