--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,6 @@
-"""A parent drains by the operators' shape; the front goes on naming it as the source of fills."""
+"""Bad clients say that they wait for an hour; the front keeps a timer for each request until then, past its memory limit."""
 
-import signal
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -8,70 +8,70 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "harness-2"))
 import rig
 
-CACHE, FIRST, SECOND, ORIGIN = "s-00000001", "s-000000a1", "s-000000a2", "s-000000ff"
-GRACE_S = 2.0 + 0.05  # rules.drainGrace, and 50 ms on sockets
-WATCHED_S = 12.0
+HERE = Path(__file__).resolve().parent
+MEMORY_MB, SOCKETS = 32, 256
+CONNECTIONS, SECONDS = 16, 60
+WAIT_MS = "3600000" if rig.TROUBLE else "3000"
 
 
-def member(name, number, tier, sources, standing="in_service"):
-    fills_from = ", ".join(f'"{source}"' for source in sources)
-    return (f'member "{name}" {{\n  incarnation = 1\n  number = {number}\n  tier = {tier}\n'
-            f'  standing = "{standing}"\n  fills_from = [{fills_from}]\n}}\n')
+class Named:
+    def __init__(self, member, port):
+        self.member, self.port = member, port
 
 
-def play(case):
-    directory = {}
-    cache = rig.Cache(case, CACHE, "cache", directory)
-    parents = [rig.Cache(case, name, "parent", directory, fills_from=ORIGIN) for name in (FIRST, SECOND)]
-    origin = rig.Cache(case, ORIGIN, "origin", directory, latency=0.02)
-    feed = rig.Feed(case)
-    rows = [rig.member_row(cache, "edge-1", "small-node"), rig.member_row(origin, "north", "origin")]
-    rows += [rig.member_row(parent, "north", "parent") for parent in parents]
-    root = member(ORIGIN, 1, 2, [])
-    case.write("shape.hcl", root + member(FIRST, 1, 1, [ORIGIN]) + member(SECOND, 1, 1, [ORIGIN]))
-    settings = case.write("doorgrade.hcl", 'hierarchy {\n  enabled = true\n  shape = "shape.hcl"\n}\n')
-    port = rig.free_port()
-    front = case.front("n1", port, rig.config(feed.port, rows), settings)
-    front.wait_for_log(" listens on ", 20)
-    rig.wait_until("the front is ready", lambda: rig.is_ready(port), 20)
-    client = rig.Client(port)
-    number = 0
+def memory_mb(process):
+    """What the front holds of its own, without the pages of its program's file."""
+    for line in Path(f"/proc/{process}/status").read_text().splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / 1024
+    raise rig.CannotRun("the system doesn't tell the memory of a process")
 
-    def traffic(until):
-        nonlocal number
-        while time.time() < until:
-            number += 1
-            at = time.time()
-            status, _, _ = client.ask("font-files", 0x7f3a9c21e0b40000 + number, number)
-            case.record(f"client: access {number:016x} answered {status} after {1000 * (time.time() - at):.0f} ms")
-            time.sleep(0.03)
 
-    traffic(time.time() + 8)
-    before = len(front.log_text())
-    told_at = None
-    if rig.TROUBLE:
-        case.write("shape.hcl", root + member(FIRST, 2, 1, [ORIGIN], "draining") + member(SECOND, 1, 1, [ORIGIN]))
-        front.signal(signal.SIGHUP)
-        front.wait_for_log("configuration reloaded", 10, before)
-        told_at = time.time()
-        case.record(f"the front has read that {FIRST} drains")
-    traffic(time.time() + GRACE_S + WATCHED_S)
-    if told_at is None:
-        told_at = float("inf")
-    late = []
-    for at, path, fields in cache.requests:
-        if at > told_at + GRACE_S and fields.get("miss-to") == FIRST:
-            late.append(f"{at - told_at:.2f} s after the word {CACHE} was told to fill {path} from {FIRST}")
-    for parent in parents:
-        for at, path, fields in parent.requests:
-            if at <= told_at + GRACE_S or "fill-for" in fields:
-                continue
-            if parent.member == FIRST or fields.get("miss-to") == FIRST:
-                late.append(f"{at - told_at:.2f} s after the word {parent.member} got {path}, miss-to "
-                            f"{fields.get('miss-to')}")
-    for line in late:
-        case.record("late: " + line)
-    return f"{len(late)} sends named {FIRST} later than {GRACE_S} s after the front was told; {late[-1]}" if late else None
+def play(case):
+    programs, members = [], []
+    try:
+        for member in ("s-00000001", "s-00000002", "s-00000003", "s-000000ff"):
+            server = subprocess.Popen([sys.executable, HERE / "quick_cache.py", str(rig.unix_ms())],
+                                      stdout=subprocess.PIPE, text=True)
+            programs.append(server)
+            members.append(Named(member, int(server.stdout.readline())))
+        feed = rig.Feed(case)
+        rows = [rig.member_row(cache, "edge-1", "small-node") for cache in members[:3]]
+        rows.append(rig.member_row(members[3], "north", "origin"))
+        limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+        port = rig.free_port()
+        front = case.front("n1", port, rig.config(feed.port, rows, limits=limits))
+        front.wait_for_log(" listens on ", 20)
+        case.record(f"the front may hold {MEMORY_MB} MB, and holds {memory_mb(front.process.pid):.1f} MB at the start")
+        clients = [subprocess.Popen([sys.executable, HERE / "clients.py", str(port), str(SECONDS), str(number), WAIT_MS],
+                                    stdout=subprocess.PIPE, text=True) for number in range(1, CONNECTIONS + 1)]
+        programs += clients
+        began, most, usual, number = time.time(), 0.0, [], 0
+        while time.time() < began + SECONDS and most <= MEMORY_MB:
+            number += 1
+            client = rig.Client(port)
+            usual.append(client.ask("font-css", 0x7f3a9c21e0b50000 + number % 50, number)[0])
+            client.close()
+            held = memory_mb(front.process.pid)
+            most = max(most, held)
+            if number % 10 == 1:
+                case.record(f"{time.time() - began:.0f} s: the front holds {held:.1f} MB")
+            time.sleep(0.2)
+        took = time.time() - began
+        case.record(f"after {took:.0f} s the front had held {most:.1f} MB at the most; its usual client had "
+                    f"{usual.count(200)} of {len(usual)} accesses served")
+        for client in clients:
+            if took < SECONDS:
+                client.terminate()
+            else:
+                case.record(f"clients that say they wait {WAIT_MS} ms: {client.communicate(timeout=15)[0].strip()}")
+        if most > MEMORY_MB:
+            return f"the front may hold {MEMORY_MB} MB and holds {most:.1f} MB after {took:.0f} s of {CONNECTIONS} bad clients"
+        return None
+    finally:
+        for program in programs:
+            program.kill()
+            program.wait()
 
 
 rig.main(__file__, play)
