--- a/review/harness-2/rig.py
+++ b/review/harness-2/rig.py
@@ -290,8 +290,8 @@
     def guarded(self, stream):
         try:
             self.serve(stream)
-        except (OSError, ValueError):
-            pass
+        except (OSError, ValueError, IndexError):
+            pass  # The connection ended, perhaps within a line.
         finally:
             with self.lock:
                 self.open.discard(stream)
