--- a/review/7/case.py
+++ b/review/7/case.py
@@ -63,8 +63,8 @@
         for client in clients:
             if took < SECONDS:
                 client.terminate()
-            else:
-                case.record(f"clients that say they wait {WAIT_MS} ms: {client.communicate(timeout=15)[0].strip()}")
+        for client in clients:
+            case.record(f"a client that says it waits {WAIT_MS} ms: {client.communicate(timeout=15)[0].strip()}")
         if most > MEMORY_MB:
             return f"the front may hold {MEMORY_MB} MB and holds {most:.1f} MB after {took:.0f} s of {CONNECTIONS} bad clients"
         return None
--- a/review/7/clients.py
+++ b/review/7/clients.py
@@ -4,6 +4,7 @@
 requests were answered, how many of them were served, and how many were lost.
 """
 
+import signal
 import socket
 import struct
 import sys
@@ -31,6 +32,13 @@
     return bytearray(data), places
 
 
+
+
+def told_to_end(*_):
+    raise ConnectionError("told to end")
+
+
+signal.signal(signal.SIGTERM, told_to_end)
 data, places = batch()
 sent = answered = served = 0
 stream = socket.create_connection(("127.0.0.1", port), timeout=20)
