Bound what one client's size can do to estimates that others depend on

Cause: Front::access let the size, as a transfer time, into the offering's mean without a bound, and record_result added that mean to what members carry (4 s memory), while what a cold member was sent was counted by the mean as it had become since (64 accesses).

Change: a size that one transfer can't bring within the hard limit is answered 400; a client's wait counts as the offering's hard limit at most; a sample counts as 8 means at most; the work of members and of cold budgets is counted in accesses of mean work. The new module is src/control/estimates.rs.

Suites of the module, front, lab, hierarchy and settings pass.

--- a/crates/control-client/tests/exchange.rs
+++ b/crates/control-client/tests/exchange.rs
@@ -56,6 +56,7 @@
     let fresh_time = 36_000_000;
     let offering = Offering {
         soft_limit: 5_000,
+        hard_limit: 20_000,
         transfer_factor: 0.0,
         benefit: 1.0,
         repeat_policy: RepeatPolicy::Idempotent,
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -210,6 +210,11 @@
             state.trace_rejection(&request.id, 404, Rejection::Invalid);
             return state.reply(conn, id, Reply::empty(404));
         };
+        if !self.front.is_possible_size(offering, request.kb) {
+            state.warn_limited("a request tells an impossible size");
+            state.trace_rejection(&request.id, 400, Rejection::Invalid);
+            return state.reply(conn, id, Reply::empty(400));
+        }
         // Caches identify accesses by the request's id: a second access with it must not disturb the first.
         let open = state.access_by_id.get(&request.numeric_id).and_then(|first| state.accesses.get(first));
         if open.is_some_and(|a| !a.done) {
@@ -235,7 +240,7 @@
         state.next_access += 1;
         client.accesses.insert(id, access);
         state.body_bytes += held_bytes;
-        let deadline = received_at.min(state.now) + request.wait;
+        let deadline = self.front.deadline(offering, received_at.min(state.now), request.wait);
         let requested = Access {
             id: access,
             offering,
--- a/crates/hierarchy/tests/router.rs
+++ b/crates/hierarchy/tests/router.rs
@@ -66,6 +66,7 @@
 fn settings() -> Settings {
     let offering = |repeat_policy, fresh_time, uncacheable| Offering {
         soft_limit: 4_000,
+        hard_limit: 20_000,
         transfer_factor: 0.0,
         benefit: 1.0,
         repeat_policy,
--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -109,6 +109,7 @@
     Settings {
         offerings: vec![Offering {
             soft_limit: 10_000,
+            hard_limit: 0,
             transfer_factor: 4.0,
             benefit: 1.0,
             repeat_policy,
--- a/crates/lab/src/front_state/simulation.rs
+++ b/crates/lab/src/front_state/simulation.rs
@@ -158,6 +158,7 @@
     let cold = ColdLimits { initial_share: 0.16, duration: 170_000, load_multiple: 2.0, window: 15_000 };
     let offering = Offering {
         soft_limit: SOFT_LIMIT,
+        hard_limit: 0,
         transfer_factor: 4.0,
         benefit: 1.0,
         repeat_policy: RepeatPolicy::Idempotent,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -268,6 +268,7 @@
         };
         offerings.push(Offering {
             soft_limit: ticks(profile.aim),
+            hard_limit: ticks(profile.deadline),
             transfer_factor: profile.aim_stretch,
             benefit: profile.worth,
             repeat_policy: match profile.semantics.as_str() {
--- a/src/control/access.rs
+++ b/src/control/access.rs
@@ -24,18 +24,18 @@
 
     /// Takes on a new access: sends its first push, or ends it.
     pub fn access(&mut self, now: Ticks, access: &Access, effects: &mut dyn EffectSink) {
-        let offering = &mut self.offerings[access.offering];
         let transfer_time = if access.kb > 0.0 && self.kb_per_tick > 0.0 {
             access.kb / self.kb_per_tick
         } else {
-            offering.mean_transfer_time
+            self.offerings[access.offering].mean_transfer_time
         };
-        offering.mean_transfer_time += (transfer_time - offering.mean_transfer_time) / 64.0;
+        self.record_transfer_time(access.offering, transfer_time);
+        self.record_mean_access(access.offering);
+        let offering = &self.offerings[access.offering];
         let soft_limit_at =
             now + offering.settings.soft_limit + (offering.settings.transfer_factor * transfer_time) as Ticks;
-        let benefit_rate = offering.settings.benefit / transfer_time.max(1.0);
-        self.mean_benefit_rate += (benefit_rate - self.mean_benefit_rate)
-            * if self.mean_benefit_rate == 0.0 { 1.0 } else { 1.0 / 64.0 };
+        let benefit_rate = self.benefit_rate(access.offering, transfer_time);
+        self.record_benefit_rate(benefit_rate);
         // From half a limit to one and a half: under overload, the accesses with the lowest benefit for their
         // transfer time are rejected first.
         let limit_share = (0.5 + 0.5 * benefit_rate / self.mean_benefit_rate).min(1.5);
--- a/src/control/cold.rs
+++ b/src/control/cold.rs
@@ -13,8 +13,8 @@
     /// Resets a member that has just started. Its cold budget begins at a random level of use, since
     /// otherwise the first pushes of all fronts together would overload it.
     pub(super) fn start_cold(&mut self, now: Ticks, member: MemberIndex) {
-        let longest = self.offerings.iter().map(|o| o.mean_transfer_time).fold(0.0, f64::max);
-        let cold_spent = DecayingSum { sum: self.rng.f64() * longest, updated_at: now };
+        let most_work = (0..self.offerings.len()).map(|o| self.work(o)).fold(0.0, f64::max);
+        let cold_spent = DecayingSum { sum: self.rng.f64() * most_work, updated_at: now };
         (self.members[member].limit, self.members[member].cold_spent) = (self.initial_limit, cold_spent);
     }
 
@@ -47,8 +47,8 @@
             if weights > 0.0 { rates / weights } else { self.warm_throughput[role_index] };
     }
 
-    /// For a cold member: the multiple of a warm member's load that it may be sent; its budget, as the mean
-    /// number of concurrent transfers from this front; and the window, in ticks, within which more makes it
+    /// For a cold member: the multiple of a warm member's load that it may be sent; its budget, in
+    /// accesses of mean work per tick; and the window, in ticks, within which more makes it
     /// fail.
     ///
     /// The budget is at least a tenth of a transfer for the whole zone, so that the member gets its first
@@ -56,8 +56,8 @@
     pub(super) fn cold_budget(&self, now: Ticks, member: MemberIndex) -> Option<(f64, f64, f64)> {
         let (role_index, age) = self.cold_age(now, member)?;
         let limits = &self.cold_limits[role_index];
-        let warm_load =
-            (self.warm_throughput[role_index] * self.members[member].weight).max(0.1 / self.zone_fronts);
+        let least_load = 0.1 / self.zone_fronts / self.mean_transfer_time.max(1.0);
+        let warm_load = (self.warm_throughput[role_index] * self.members[member].weight).max(least_load);
         let load_share = limits.load_multiple * (limits.initial_share + (1.0 - limits.initial_share) * age);
         Some((load_share, load_share * warm_load, limits.window as f64))
     }
@@ -71,8 +71,7 @@
         let Some((load_share, budget, window)) = self.cold_budget(now, member) else { return true };
         let spent = self.members[member].cold_spent.remaining(now, Self::COLD_STEADY_SHARE * budget);
         let fits = spent == 0.0
-            || spent + self.offerings[state.access.offering].mean_transfer_time
-                <= Self::COLD_BURST_SHARE * budget * window;
+            || spent + self.work(state.access.offering) <= Self::COLD_BURST_SHARE * budget * window;
         fits && (self.members[member].role == Role::Parent
             || state.sample < Self::COLD_STEADY_SHARE * load_share)
     }
--- a/src/control/health.rs
+++ b/src/control/health.rs
@@ -81,19 +81,18 @@
                 // Balanced where 1 push in 20 is overdue: the factor then grows as much as it shrinks.
                 offering.overdue_factor =
                     (offering.overdue_factor * if push.overdue { 1.02 } else { 0.999 }).clamp(0.5, 2.0);
+                let needs_fill = push.needs_fill;
                 if access.kb == 0.0 || self.kb_per_tick == 0.0 {
-                    offering.mean_transfer_time +=
-                        (result.latency as f64 - offering.mean_transfer_time) / 64.0;
+                    self.record_transfer_time(access.offering, result.latency as f64);
                 }
                 if in_time
-                    && push.needs_fill
+                    && needs_fill
                     && self.fills_in_flight.mean(now, self.averaging_time) >= 0.5 * self.fill_limit
                 {
                     self.fill_limit += increase;
                 }
-                let mean_transfer_time = offering.mean_transfer_time;
-                let likely_filled =
-                    filled || push.needs_fill && self.status_reporting != StatusReporting::All;
+                let work = self.work(access.offering);
+                let likely_filled = filled || needs_fill && self.status_reporting != StatusReporting::All;
                 for m in members_of(target) {
                     let busy = self.limit_usage(now, m) >= 0.5;
                     let member = &mut self.members[m];
@@ -101,7 +100,7 @@
                     member.throughput.add(
                         now,
                         Self::THROUGHPUT_AVERAGING_TICKS,
-                        if m == cache || likely_filled { mean_transfer_time } else { 0.0 },
+                        if m == cache || likely_filled { work } else { 0.0 },
                     );
                     member.limit += if in_time && busy { increase } else { 0.0 };
                 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 
 mod access;
 mod cold;
+mod estimates;
 mod fills;
 mod health;
 mod member_list;
@@ -67,11 +68,15 @@
     fills: EvictingMap<(u64, u32), FillRecord>,
     /// The latest purge of an object (key true) or of a group (key false).
     purges: EvictingMap<(bool, u64), Ticks>,
-    /// The mean number of transfers that a warm cache, and a warm parent, of weight 1 has in flight for this
-    /// front.
+    /// The work per tick, in accesses of mean work, that a warm cache, and a warm parent, of weight 1 does for
+    /// this front.
     warm_throughput: [f64; 2],
-    /// The mean benefit of an access per tick of its transfer time.
+    /// The mean transfer time of an access, in ticks, over all offerings as they are mixed.
+    mean_transfer_time: f64,
+    /// The mean benefit of an access per tick of its transfer time, and how many accesses it is over, as far as
+    /// that matters.
     mean_benefit_rate: f64,
+    benefit_rate_samples: f64,
     /// How many retries may be sent now. Each access adds a fifth of one; a retry after a push that provably
     /// did not run costs a quarter.
     retry_budget: f64,
@@ -112,8 +117,11 @@
         };
         // 20 pushes in flight at one cache, from all fronts of the zone together. Answers soon correct it.
         let initial_limit = 20.0 / f64::from(settings.zone_fronts);
+        let offerings: Vec<_> = settings.offerings.iter().map(offering).collect();
+        let initial_times: f64 = offerings.iter().map(|o| o.mean_transfer_time).sum();
         Front {
-            offerings: settings.offerings.iter().map(offering).collect(),
+            mean_transfer_time: initial_times / offerings.len().max(1) as f64,
+            offerings,
             zone: settings.zone,
             upstream_kinds: [settings.parent_kind, settings.origin_kind],
             status_reporting: settings.status_reporting,
@@ -138,6 +146,7 @@
             purges: EvictingMap::new(|&at| at),
             warm_throughput: [0.0; 2],
             mean_benefit_rate: 0.0,
+            benefit_rate_samples: 0.0,
             retry_budget: 10.0,
             lost_rate: 0.0,
             late_rate: 0.0,
--- a/src/control/push.rs
+++ b/src/control/push.rs
@@ -16,8 +16,7 @@
         let AccessState { access, likely_miss, rank, refresh, .. } = *state;
         let only_if_cached = state.avoid_origin || state.route_only_if_cached;
         let offering = &self.offerings[access.offering];
-        let (transfer_time, uncacheable) =
-            (offering.mean_transfer_time.max(1.0), offering.settings.uncacheable);
+        let (work, uncacheable) = (self.work(access.offering), offering.settings.uncacheable);
         const FRESHNESS_MARGIN: Ticks = 0; // copies serve up to the end of their fresh time
         let mut max_age = offering.settings.fresh_time.saturating_sub(FRESHNESS_MARGIN);
         if let Some(purged_at) = self.purged_at(&access) {
@@ -45,10 +44,8 @@
             let leak_rate = self.cold_budget(now, m).map_or(0.0, |b| Self::COLD_STEADY_SHARE * b.1);
             let member = &mut self.members[m];
             member.in_flight.add(now, self.averaging_time, 1.0);
-            member.cold_spent = DecayingSum {
-                sum: member.cold_spent.remaining(now, leak_rate) + transfer_time,
-                updated_at: now,
-            };
+            member.cold_spent =
+                DecayingSum { sum: member.cold_spent.remaining(now, leak_rate) + work, updated_at: now };
         }
         let (outcome, send_deadline, counted) = (None, self.send_deadline(index), true);
         let (sent_at, overdue, source_failed) = (now, false, false);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -55,6 +55,8 @@
 pub struct Offering {
     /// The time within which an access should be answered.
     pub soft_limit: Ticks,
+    /// The longest that a client waits for an access, across all of its tries; 0 where it is unknown.
+    pub hard_limit: Ticks,
     /// The soft limit grows by this multiple of the time that the access's own transfer takes.
     pub transfer_factor: f64,
     /// The value of an answer, relative to other offerings. Under overload it decides what is served.
--- a/src/state.rs
+++ b/src/state.rs
@@ -131,9 +131,9 @@
     pub unanswered_pushes: u32,
     /// The mean number of pushes in flight that this front may have at it.
     pub limit: f64,
-    /// The transfer time of its answers; as a rate, the mean number of its concurrent transfers for this
-    /// front. It is updated at every answer to a push that names the member.
+    /// The work of its answers, in accesses of mean work. It is updated at every answer to a push that names
+    /// the member.
     pub throughput: DecayingSum,
-    /// The transfer time of the pushes that were sent to it; leaks at the pace of its cold budget.
+    /// The work of the pushes that were sent to it, in accesses of mean work; leaks at the pace of its cold budget.
     pub cold_spent: DecayingSum,
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -60,7 +60,15 @@
 }
 
 pub fn offering(repeat_policy: RepeatPolicy, fresh_time: Ticks, uncacheable: bool) -> Offering {
-    Offering { soft_limit: 4_000, transfer_factor: 1.0, benefit: 1.0, repeat_policy, fresh_time, uncacheable }
+    Offering {
+        soft_limit: 4_000,
+        hard_limit: 20_000,
+        transfer_factor: 1.0,
+        benefit: 1.0,
+        repeat_policy,
+        fresh_time,
+        uncacheable,
+    }
 }
 
 /// Caches and parents of the front's zone, a cache of another one, and the origin.
@@ -152,6 +160,18 @@
     ) {
         let (part, group, kb, deadline) = (0, object % 4, 0.0, self.now + 20_000);
         let access = Access { id, offering, object, part, group, kb, deadline, has_repeat_id };
+        self.send_access(front, access);
+    }
+
+    /// Sends an access whose client tells the size of the response.
+    pub fn access_of_size(&mut self, front: &mut Front, id: AccessId, offering: usize, object: u64, kb: f64) {
+        let (part, group, deadline) = (0, object % 4, self.now + 20_000);
+        let access = Access { id, offering, object, part, group, kb, deadline, has_repeat_id: true };
+        self.send_access(front, access);
+    }
+
+    fn send_access(&mut self, front: &mut Front, access: Access) {
+        let id = access.id;
         let record = AccessRecord { access, pushes: Vec::new(), final_answers: 0, declined: false };
         self.accesses.insert(id, record);
         front.access(self.now, &access, self);
