Take timers out when the push or the access that set them has ended

Cause: EffectSink::push set a time-out at the access's hard limit for every push, also one that is never sent, and set_timer a check; Timers had no way to take one out. Short of connections some 30,000 pushes a second begin and end (counts in the log), so the heap grew with the clients' speed times their wait, outside of every bound.

Change: timers have ids; a push's time-out goes with the push, a check with its access.

--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -112,6 +112,11 @@
         self.state.timers.next()
     }
 
+    /// How many timers are set.
+    pub fn timer_count(&self) -> usize {
+        self.state.timers.len()
+    }
+
     /// The effects to carry out, in order.
     pub fn effects(&mut self) -> std::vec::Drain<'_, Effect> {
         self.state.effects.drain(..)
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -260,7 +260,7 @@
             state.now.saturating_add(settings.soft_limit).saturating_add(transfer_time as Ticks),
         );
         state.served.requested_benefit += benefit;
-        let (done, pushes, soft_limit_at) = (false, Vec::new(), deadline);
+        let (done, pushes, decision_timers, soft_limit_at) = (false, Vec::new(), Vec::new(), deadline);
         let open_access = OpenAccess {
             client: conn,
             request_id: id,
@@ -268,6 +268,7 @@
             repeatable,
             done,
             pushes,
+            decision_timers,
             soft_limit_at,
             benefit,
             benefit_until,
@@ -285,6 +286,7 @@
         {
             tracing::debug!(request = open_access.client_id(), "given up by its client");
             self.state.served.ended += 1;
+            self.state.cancel_decision_timers(access);
             self.state.end_unsent_pushes(access);
             self.front.client_left(access, &mut self.state);
             self.state.remove_if_done(access);
@@ -380,11 +382,20 @@
             let status = reply.status;
             let (client, id) = (open_access.client, open_access.request_id);
             self.trace_response(access, status);
+            self.cancel_decision_timers(access);
             self.reply(client, id, reply);
             self.end_unsent_pushes(access);
         }
     }
 
+    /// The access is done: the decision module has nothing left to decide about it.
+    fn cancel_decision_timers(&mut self, access: AccessId) {
+        let Some(open_access) = self.accesses.get_mut(&access) else { return };
+        for (_, timer) in open_access.decision_timers.drain(..) {
+            self.timers.cancel(timer);
+        }
+    }
+
     pub(super) fn remove_if_done(&mut self, access: AccessId) {
         let is_done = |a: &OpenAccess| a.done && a.pushes.iter().all(|s| !s.in_flight);
         if self.accesses.get(&access).is_some_and(is_done)
--- a/crates/front/src/reducer/control_feed.rs
+++ b/crates/front/src/reducer/control_feed.rs
@@ -158,7 +158,8 @@
     pub(super) fn feed_connected(&mut self, conn: ConnId, result: ConnectResult) {
         if result != ConnectResult::Connected {
             let at = self.feed.lost(conn, self.now);
-            return self.timers.set(at, Timer::FeedConnect);
+            self.timers.set(at, Timer::FeedConnect);
+            return;
         }
         let Some((bytes, excess)) = self.feed.established(conn, self.now) else { return };
         excess.into_iter().for_each(|excess| self.close(excess));
--- a/crates/front/src/reducer/effects.rs
+++ b/crates/front/src/reducer/effects.rs
@@ -18,12 +18,13 @@
         self.trace_push(p.access, p.cache, p.source);
         let Some(open_access) = self.accesses.get_mut(&p.access) else { return };
         let number = open_access.pushes.len();
-        open_access.pushes.push(SentPush::new(p, self.now));
+        let timeout = self.timers.set(self.now + p.timeout, Timer::PushTimeout(p.access, number));
+        open_access.pushes.push(SentPush::new(p, self.now, timeout));
+        self.peaks.timers = self.peaks.timers.max(self.timers.len());
         if let Some(hierarchy) = &mut self.hierarchy {
             let [cache, source] = [p.cache, p.source].map(doorgrade::hash::text);
             hierarchy.router.push_sent(self.now, p.access, number, cache, source, p.only_if_cached);
         }
-        self.timers.set(self.now + p.timeout, Timer::PushTimeout(p.access, number));
         let cache = push::number(p.cache).unwrap_or(u32::MAX);
         if self.assign_conn(cache, p.access, number).is_none() {
             self.end_push(p.access, number, PushEnd::without_response(Outcome::NeverSent));
@@ -47,7 +48,12 @@
     }
 
     fn set_timer(&mut self, at: Ticks, key: u64) {
-        self.timers.set(at, Timer::Decisions(key));
+        let timer = self.timers.set(at, Timer::Decisions(key));
+        self.peaks.timers = self.peaks.timers.max(self.timers.len());
+        let Some(open_access) = self.accesses.get_mut(&(key >> 4)) else { return };
+        // An earlier timer with this key has fired: that is when the module sets the next one.
+        open_access.decision_timers.retain(|(earlier, _)| *earlier != key);
+        open_access.decision_timers.push((key, timer));
     }
 
     /// Member lists arrive by the feed, which is always connected.
--- a/crates/front/src/reducer/pushes.rs
+++ b/crates/front/src/reducer/pushes.rs
@@ -219,6 +219,7 @@
     pub(super) fn end_push(&mut self, access: AccessId, push: usize, push_end: PushEnd) {
         if let Some(sent) = self.accesses.get_mut(&access).and_then(|a| a.pushes.get_mut(push)) {
             (sent.in_flight, sent.conn) = (false, None);
+            self.timers.cancel(sent.timeout);
         }
         self.trace_push_end(access, push, &push_end);
         self.push_ends.push_back((access, push, push_end));
--- a/crates/front/src/reducer/sent_push.rs
+++ b/crates/front/src/reducer/sent_push.rs
@@ -2,6 +2,7 @@
 
 use doorgrade::{Outcome, Push, Ticks};
 
+use crate::clock::TimerId;
 use crate::conn::ConnId;
 use crate::http::{self, CacheRequest};
 use crate::intake::Request;
@@ -24,6 +25,8 @@
     send_deadline: Ticks,
     /// When it times out.
     deadline: Ticks,
+    /// The timer for that.
+    pub(super) timeout: TimerId,
     pub(super) in_flight: bool,
     /// Its outcome, for the log.
     pub(super) outcome: Option<Outcome>,
@@ -45,7 +48,7 @@
 }
 
 impl SentPush {
-    pub(super) fn new(p: &Push<'_>, now: Ticks) -> SentPush {
+    pub(super) fn new(p: &Push<'_>, now: Ticks, timeout: TimerId) -> SentPush {
         let source = Some(p.source).filter(|s| *s != p.cache);
         SentPush {
             members: [Some(push::number(p.cache).unwrap_or(u32::MAX)), source.and_then(push::number)],
@@ -55,6 +58,7 @@
             postponed: 0,
             send_deadline: p.send_deadline,
             deadline: now + p.timeout,
+            timeout,
             in_flight: true,
             outcome: None,
             lost_new_conn: false,
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -14,7 +14,7 @@
 use super::hierarchy::Hierarchy;
 use super::sent_push::SentPush;
 use crate::bounds::Bounds;
-use crate::clock::Timers;
+use crate::clock::{TimerId, Timers};
 use crate::config::ReloadedConfig;
 use crate::conn::{ConnId, SendConditions};
 use crate::feed::ZoneAndKindNames;
@@ -89,7 +89,7 @@
     Exit,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Timer {
     /// Set by the decision module.
     Decisions(u64),
@@ -134,6 +134,8 @@
     /// The final response was given, or is no longer owed.
     pub(super) done: bool,
     pub(super) pushes: Vec<SentPush>,
+    /// The timers that the decision module has set for it, by their keys: at most one for each push.
+    pub(super) decision_timers: Vec<(u64, TimerId)>,
     /// When its soft limit ends, by the decision module.
     pub(super) soft_limit_at: Ticks,
     /// Its benefit if answered with content, and until when it counts.
@@ -161,6 +163,7 @@
     pub lines: usize,
     pub bodies: usize,
     pub accesses: usize,
+    pub timers: usize,
     /// The longest that a timer was late, and that data read from a socket waited in the queue, in units of
     /// 0.1 ms.
     pub late: Ticks,
