Put a new shape in place of the one in use, from versions and files alike

Cause: State::apply_shape reconciled a version's shape and merged a file's. A version that names no shape leaves the file's, and merging never takes back what the version before had named, nor revives what that version had ended; the rejections were logged and the version confirmed. A reload of files kept members that the new file no longer names.

Change: the shape described is built on its own and replaces the one in use (hierarchy::reconcile::replacement), so nothing can be rejected for what was in use before. Homes of objects are kept beside the shape, so hand-overs go on. A member without a usable change keeps its last sources, as before. full_shape goes.

--- a/crates/front/src/bounds.rs
+++ b/crates/front/src/bounds.rs
@@ -29,7 +29,7 @@
 /// Bytes of a connection to a cache with its coroutine and full buffers.
 const CACHE_CONN: usize = CACHE_IN + CACHE_OUT + 16 * 1024;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
     /// Connections of clients.
     pub clients: usize,
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -47,8 +47,6 @@
     pub log: LevelFilter,
     /// The operators' files.
     pub files: Files,
-    /// The shape in `files` is complete, because it came with a version. A file holds changes.
-    pub full_shape: bool,
 }
 
 #[derive(Clone)]
@@ -65,8 +63,6 @@
     pub log: LevelFilter,
     /// The operators' files; all features are off until [`Config::with_files`].
     pub files: Files,
-    /// The shape in `files` is complete, because it came with a version.
-    pub full_shape: bool,
     /// The descriptors that this process may use.
     pub descriptors: Descriptors,
 }
@@ -158,7 +154,6 @@
             known,
             log: file.log.map_or(Ok(LevelFilter::INFO), |level| with_key("log", level.parse()))?,
             files: Files::default(),
-            full_shape: false,
             descriptors: Descriptors::default(),
         })
     }
@@ -190,7 +185,6 @@
         self.feed = version.feed.unwrap_or(self.feed);
         if let Some(shape) = &version.shape {
             self.files.shape.clone_from(shape);
-            self.full_shape = true;
         }
         self
     }
@@ -230,7 +224,7 @@
             ("recall", new_settings.recall != current.recall),
         ];
         let needs_restart = needs_restart.into_iter().filter(|w| w.1).map(|w| w.0).collect();
-        let Config { feed, limits, log, files, full_shape, .. } = new;
-        (ReloadedConfig { feed, limits, log, files, full_shape }, needs_restart)
+        let Config { feed, limits, log, files, .. } = new;
+        (ReloadedConfig { feed, limits, log, files }, needs_restart)
     }
 }
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -39,7 +39,7 @@
     CLIENT_IDLE_TIMEOUT, COUNTS_LOG_INTERVAL, HALF_CLOSE_TIMEOUT, Listener, OpenAccess, REQUEST_TIMEOUT,
     SWEEP_INTERVAL, State, Timer, UNREAD_TIMEOUT,
 };
-pub use types::{ConnectResult, Effect, Input, Most, Served};
+pub use types::{ConnectResult, Effect, Input, Most, Served, SettingsInUse};
 
 /// The decision module, and the state of the front around it.
 pub struct Reducer {
@@ -51,8 +51,7 @@
     pub fn new(config: Config, now: Ticks) -> Self {
         let hierarchy = Hierarchy::new(&config, now);
         let learned = config.files.settings.recall.as_ref().map(|_| Vec::new());
-        let Config { platform, limits, known: (last, events), names, feed, seed, files, full_shape, .. } =
-            config;
+        let Config { platform, limits, known: (last, events), names, feed, seed, files, .. } = config;
         let mut reducer = Reducer {
             front: Front::new(&platform.settings, seed),
             state: State {
@@ -97,7 +96,7 @@
                 learned,
             },
         };
-        reducer.state.apply_shape(&files.shape, full_shape);
+        reducer.state.apply_shape(&files.shape);
         tracing::info!("bounds: {:?}; {} events known up to {last}", reducer.state.bounds, events.len());
         let latest = events.iter().filter_map(feed::Event::latest).max().unwrap_or(now);
         for event in events {
@@ -112,6 +111,15 @@
         self.state.timers.next()
     }
 
+    /// The settings in use that a reload may replace.
+    pub fn settings_in_use(&self) -> SettingsInUse {
+        SettingsInUse {
+            bounds: self.state.bounds,
+            feed: self.state.feed_address,
+            shape: self.state.hierarchy.as_ref().map(|h| h.router.shape().changes()),
+        }
+    }
+
     /// How many timers are set.
     pub fn timer_count(&self) -> usize {
         self.state.timers.len()
--- a/crates/front/src/reducer/control_feed.rs
+++ b/crates/front/src/reducer/control_feed.rs
@@ -145,7 +145,10 @@
     pub(super) fn reload(&mut self, config: &ReloadedConfig) {
         self.bounds = Bounds::new(&config.limits);
         self.client_bound_changed();
-        self.apply_shape(&config.files.shape, config.full_shape);
+        // Files that no longer enable the hierarchy take effect at the next start.
+        if config.files.settings.hierarchy.is_some() || !config.files.shape.is_empty() {
+            self.apply_shape(&config.files.shape);
+        }
         tracing::info!("configuration reloaded; bounds: {:?}; feed at {}", self.bounds, config.feed);
         if std::mem::replace(&mut self.feed_address, config.feed) != config.feed {
             // Connections that are still being established are closed once they are up.
--- a/crates/front/src/reducer/hierarchy.rs
+++ b/crates/front/src/reducer/hierarchy.rs
@@ -2,8 +2,7 @@
 
 use doorgrade::{Access, AccessId, FillRoutes, Member, PushResult, Ticks};
 use doorgrade_hierarchy::homes::{HomesChange, SavedList};
-use doorgrade_hierarchy::reconcile::reconcile;
-use doorgrade_hierarchy::{ApplyOutcome, Change, FillRouter, RouterConfig, Shape, cdn_loop};
+use doorgrade_hierarchy::{ApplyOutcome, Change, FillRouter, RouterConfig, cdn_loop};
 
 use super::{Observation, State};
 use crate::config::Config;
@@ -55,18 +54,11 @@
 }
 
 impl State {
-    /// Applies changes of the shape. If `complete`, they describe the whole shape, whatever was applied
-    /// before.
-    pub(super) fn apply_shape(&mut self, changes: &[Change], complete: bool) {
+    /// Puts the shape that these changes describe in use, whatever was in use before.
+    pub(super) fn apply_shape(&mut self, changes: &[Change]) {
         let Some(hierarchy) = &mut self.hierarchy else { return };
-        let reconciling = complete.then(|| {
-            let mut wanted = Shape::new();
-            changes.iter().for_each(|c| drop(wanted.apply(c)));
-            reconcile(hierarchy.router.shape(), &wanted)
-        });
-        let changes = reconciling.as_deref().unwrap_or(changes);
         let before = hierarchy.router.shape().revision;
-        let (outcomes, moved) = hierarchy.router.apply_changes(self.now, changes);
+        let (outcomes, moved) = hierarchy.router.replace_shape(self.now, changes);
         for (change, outcome) in changes.iter().zip(outcomes) {
             let member = &change.member;
             match outcome {
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -5,6 +5,7 @@
 
 use doorgrade::{AccessId, Offering, Ticks};
 use doorgrade_control_client::Observation;
+use doorgrade_hierarchy::Change;
 use doorgrade_hierarchy::homes::SavedList;
 use doorgrade_recall::{Fill, Purge};
 use rustc_hash::FxHashMap;
@@ -156,6 +157,15 @@
     pub answered: u64,
 }
 
+/// The settings in use that a reload may replace.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettingsInUse {
+    pub bounds: Bounds,
+    pub feed: SocketAddr,
+    /// The changes that make up the shape of the hierarchy, if it is enabled.
+    pub shape: Option<Vec<Change>>,
+}
+
 /// Peak values, printed in the log under these names. `lines` are the connections to caches.
 #[derive(Default, Debug)]
 pub struct Most {
--- a/crates/hierarchy/src/lib.rs
+++ b/crates/hierarchy/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`shield`]: a rate limit on the fills that a front sends to the archive, directly or through parents.
 //! - [`order`]: a topological order of the members of a tier, updated edge by edge; it detects cycles.
 //! - [`router`]: combines these for one front: the sources that an access may be filled from now, in order.
-//! - [`reconcile`]: the changes that lead from the current shape to a desired one, and the checks of a desired
+//! - [`reconcile`]: puts a desired shape in place of the current one, and the checks of a desired
 //!   shape.
 //! - [`cdn_loop`]: detects fills that go round in a cycle that no single shape shows (RFC 8586).
 //!
--- a/crates/hierarchy/src/reconcile.rs
+++ b/crates/hierarchy/src/reconcile.rs
@@ -1,15 +1,16 @@
-//! Changes that lead from a current shape to a desired one, for shapes that are given as a whole, in versions.
+//! Puts a desired shape, which is given as a whole in a file or a version, in place of the current one.
 //!
 //! Members number the changes that they announce, and a change never undoes one with a greater number. But a rollback
-//! to an older version has to undo newer changes. So a version's shape is built on its own, and the differences from
-//! the current shape are expressed as new changes: a member that differs gets its next number, one that is no longer
-//! wanted has ended, and one that had ended starts a new incarnation. A member that does not differ gets no change, so
-//! that its objects keep their homes.
+//! to an older version has to undo newer changes, and a file or version that no longer names a member has to end it. So
+//! the desired shape is built on its own: what was in use before leaves no trace in it. The homes of objects are kept
+//! beside the shape, by name, so that they move only where the members differ.
+//!
+//! The one exception is a desired shape that can't be used as a whole. A member of which no desired change can be in
+//! force keeps the sources that it had until then, if it had any, until its own become usable.
 
-use std::collections::BTreeMap;
 use std::fmt;
 
-use crate::shape::{Change, ChangeKind, PendingChange, Shape, Standing};
+use crate::shape::{ApplyOutcome, Change, ChangeKind, PendingChange, Shape, Standing};
 
 /// A fault of a well-formed shape that would do harm in service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,31 +66,29 @@
     empty.into_iter().chain(pending).chain(cut_off).chain(exhausted).take(max).collect()
 }
 
-/// The newest change of each live member.
-fn newest_changes(shape: &Shape) -> BTreeMap<Box<str>, Change> {
-    // `changes` sorts them by number, so that the last one of a member is its newest.
-    let live = shape.changes().into_iter().filter(|c| c.kind != ChangeKind::Gone);
-    live.map(|c| (c.member.clone(), c)).collect()
+/// The earlier changes of members that have none in force in the desired shape.
+fn fallbacks(current: &Shape, desired: &Shape) -> Vec<Change> {
+    let pending = desired.pending_changes();
+    let is_fallback = |change: &Change| {
+        let stamp = (change.incarnation, change.number);
+        let older = |p: &PendingChange| p.member == change.member && stamp < (p.incarnation, p.number);
+        change.kind != ChangeKind::Gone && pending.iter().any(older)
+    };
+    if pending.is_empty() {
+        return Vec::new();
+    }
+    current.changes().into_iter().filter(is_fallback).collect()
 }
 
-/// The changes that make the members of `current` equal to those of `desired`.
-pub fn reconcile(current: &Shape, desired: &Shape) -> Vec<Change> {
-    let (mut existing, wanted) = (newest_changes(current), newest_changes(desired));
-    let mut changes = Vec::new();
-    for (member, new) in wanted {
-        let (incarnation, number) = match existing.remove(&member) {
-            Some(old) if old.kind == new.kind => continue,
-            // The desired shape itself has a later incarnation of the member.
-            Some(old) if new.incarnation > old.incarnation => {
-                (new.incarnation.max(current.free_incarnation(&member)), new.number)
-            }
-            Some(old) if old.number < u64::MAX => (old.incarnation, old.number + 1),
-            Some(old) => (old.incarnation.saturating_add(1).max(current.free_incarnation(&member)), 0),
-            None => (new.incarnation.max(current.free_incarnation(&member)), new.number),
-        };
-        changes.push(Change { member, incarnation, number, kind: new.kind });
+/// The shape that takes the place of `current`, made of the changes that describe the desired one, and the outcome of
+/// each of these.
+pub fn replacement(current: &Shape, desired: &[Change]) -> (Shape, Vec<ApplyOutcome>) {
+    let mut shape = Shape::new();
+    let outcomes = desired.iter().map(|change| shape.apply(change)).collect();
+    for change in fallbacks(current, &shape) {
+        shape.apply(&change);
     }
-    // Unwanted members end last, so that no member loses its only source before its next one is known.
-    changes.extend(existing.into_values().map(|old| Change { number: 0, kind: ChangeKind::Gone, ..old }));
-    changes
+    let differs = shape.members() != current.members();
+    shape.revision = current.revision + u64::from(differs);
+    (shape, outcomes)
 }
--- a/crates/hierarchy/src/router.rs
+++ b/crates/hierarchy/src/router.rs
@@ -13,6 +13,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::homes::{self, Home, Homes, HomesChange};
+use crate::reconcile::replacement;
 use crate::shape::{ApplyOutcome, Change, Shape, Standing};
 use crate::shield::{Admission, ArchiveOutcome, Shield};
 
@@ -111,13 +112,15 @@
         self.depth
     }
 
-    /// Applies changes of the shape. Gives the outcome of each, and the change of homes, if any.
-    pub fn apply_changes(
+    /// Puts the shape that these changes describe in place of the current one. Gives the outcome of each, and the
+    /// change of homes, if any.
+    pub fn replace_shape(
         &mut self,
         now: Ticks,
-        changes: &[Change],
+        desired: &[Change],
     ) -> (Vec<ApplyOutcome>, Option<HomesChange>) {
-        let outcomes = changes.iter().map(|c| self.shape.apply(c)).collect();
+        let (shape, outcomes) = replacement(&self.shape, desired);
+        self.shape = shape;
         self.cut_off = self.shape.cut_off().into_iter().map(hash::text).collect();
         let roots = self.shape.members().into_iter().filter(|m| m.root && m.standing == Standing::InService);
         self.roots = roots.map(|m| hash::text(m.name)).collect();
