Let clients that finish their requests have the room of those that do not

Cause: bytes of requests that are being received shared the room for bodies with all else, first come, first served, so that those who finish nothing held it for 2.4 s and then again.

Change: such bytes take half of the room at most; beyond it the client that holds most beyond one request gives way, then one that never finished any, the oldest request first (reducer/partial.rs). Places are given by the same order where requests have begun on all. held_bytes of an intake is counted, not summed.

--- a/crates/front/src/intake.rs
+++ b/crates/front/src/intake.rs
@@ -12,6 +12,8 @@
 pub const MAX_REQUEST_BODY: usize = 48_000;
 /// The most bytes of all parameters of a request; web servers send a few hundred.
 const MAX_PARAMS_BYTES: usize = 16 * 1024;
+/// The most bytes that one request holds while it is being received.
+pub const MAX_PARTIAL_BYTES: usize = MAX_PARAMS_BYTES + MAX_REQUEST_BODY;
 
 /// A valid request.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,12 +61,20 @@
     dropped: bool,
 }
 
+impl PartialRequest {
+    fn held_bytes(&self) -> usize {
+        self.params.len() + self.body.len()
+    }
+}
+
 /// The reading side of a client's connection.
 #[derive(Debug, Default)]
 pub struct Intake {
     decoder: Decoder,
     /// Open requests; none for those that have been received completely.
     open: FxHashMap<u16, Option<PartialRequest>>,
+    /// Bytes of requests that are still being received.
+    held_bytes: usize,
     /// The content so far of a record that can be decoded only when it is complete.
     record: Vec<u8>,
     /// The connection is closed once its open requests have been answered.
@@ -76,7 +86,14 @@
 impl Intake {
     /// Bytes of requests that are still being received.
     pub fn held_bytes(&self) -> usize {
-        self.open.values().flatten().map(|c| c.body.len() + c.params.len()).sum()
+        self.held_bytes
+    }
+
+    /// Takes a request out, and what it holds with it. Whether there was one.
+    fn remove(&mut self, id: u16) -> bool {
+        let removed = self.open.remove(&id);
+        self.held_bytes -= removed.as_ref().and_then(Option::as_ref).map_or(0, PartialRequest::held_bytes);
+        removed.is_some()
     }
 
     pub fn open(&self) -> usize {
@@ -93,6 +110,7 @@
     pub fn discard_rest(&mut self) {
         (self.close_when_done, self.discarding) = (true, true);
         self.open.retain(|_, partial| partial.is_none());
+        self.held_bytes = 0;
         self.record.clear();
     }
 
@@ -108,7 +126,7 @@
 
     /// The request has been answered, or needs no response.
     pub fn finish(&mut self, id: u16) {
-        self.open.remove(&id);
+        self.remove(id);
     }
 
     /// The next message, if it is complete; bodies may take this much more room.
@@ -138,7 +156,7 @@
         match (fragment.kind, fragment.id) {
             (fastcgi::PARAMS | fastcgi::STDIN, id) if id > 0 => Ok(self.add_content(fragment, content, max)),
             (fastcgi::ABORT_REQUEST, id) if id > 0 && fragment.last => {
-                Ok(self.open.remove(&id).map(|_| ClientMessage::Abort(id)))
+                Ok(self.remove(id).then_some(ClientMessage::Abort(id)))
             }
             (fastcgi::BEGIN_REQUEST, id) if id > 0 => {
                 let complete = self.collect_record(fragment, content);
@@ -203,9 +221,11 @@
                 partial.dropped = true;
             }
             if partial.dropped {
+                self.held_bytes -= partial.held_bytes();
                 (partial.params, partial.body) = (Vec::new(), Vec::new());
             } else {
                 to.extend_from_slice(content);
+                self.held_bytes += content.len();
             }
             return None;
         }
@@ -217,6 +237,7 @@
             return None;
         }
         let complete = slot.take()?;
+        self.held_bytes -= complete.held_bytes();
         Some(match complete.dropped {
             true => ClientMessage::Invalid(fragment.id, 503, "no room for a request"),
             false => request_from(fragment.id, &complete.params, complete.body),
--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -1,13 +1,16 @@
 //! The state machine of the front: takes one input, changes its state, and emits effects. No I/O.
 
 mod admission;
+mod client;
 mod client_ends;
 mod clients;
 mod control_feed;
 mod effects;
 mod hierarchy;
+mod partial;
 mod pushes;
 mod sent_push;
+mod sweep;
 mod trace;
 mod types;
 
@@ -27,19 +30,16 @@
 use crate::feed_connections::FeedConnections;
 use crate::intake::Request;
 use crate::phase::Phase;
-use crate::push::{CacheConn, ConnState, Pools};
+use crate::push::Pools;
 use crate::reasons::{CacheEnd, ClientEnd, Counts, IoEnd};
 use crate::remote_times::{Arrival, RemoteTimes};
 use admission::{Shortage, Slots};
+use client::Client;
 use client_ends::HalfCloseState;
-use clients::Client;
 pub use doorgrade_control_client::Observation;
 use hierarchy::Hierarchy;
-use types::{
-    CLIENT_IDLE_TIMEOUT, COUNTS_LOG_INTERVAL, HALF_CLOSE_TIMEOUT, Listener, OpenAccess, REQUEST_TIMEOUT,
-    SWEEP_INTERVAL, State, Timer, UNREAD_TIMEOUT,
-};
 pub use types::{ConnectResult, Effect, Input, Most, Served, SettingsInUse};
+use types::{HALF_CLOSE_TIMEOUT, Listener, OpenAccess, SWEEP_INTERVAL, State, Timer};
 
 /// The decision module, and the state of the front around it.
 pub struct Reducer {
@@ -323,45 +323,6 @@
             state.effects.push(Effect::Exit);
         }
     }
-
-    fn sweep(&mut self) {
-        let state = &mut self.state;
-        let now = state.now;
-        state.timers.set(now + SWEEP_INTERVAL, Timer::Sweep);
-        state.check_feed();
-        let idle = state.idle_timeout * 3 / 4;
-        let is_old = |c: &CacheConn| c.state == ConnState::Idle && c.since + idle < now;
-        let old: Vec<_> =
-            state.cache_conns.iter().filter(|(_, c)| is_old(c)).map(|(&conn, c)| (conn, c.cache)).collect();
-        for (conn, cache) in old {
-            state.pools.remove(cache, conn);
-            state.close_cache_conn(conn, CacheEnd::Idle);
-        }
-        let is_unread = |c: &Client| c.writing.is_some() && c.last_write + UNREAD_TIMEOUT < now;
-        let is_late = |c: &Client| {
-            c.idle_since() + CLIENT_IDLE_TIMEOUT < now
-                || c.request_since.is_some_and(|at| at + REQUEST_TIMEOUT < now)
-        };
-        let unresponsive = state.clients.iter().filter(|(_, c)| is_unread(c) || c.is_idle() && is_late(c));
-        for conn in unresponsive.map(|(&conn, _)| conn).collect::<Vec<_>>() {
-            self.state.warn_limited(
-                "closing the connection of a client that is idle, does not read, or does not complete its request",
-            );
-            let Some(client) = self.state.clients.get(&conn) else { continue };
-            if is_unread(client) {
-                self.drop_client(conn, ClientEnd::NotReading);
-            } else {
-                let idle = client.idle_since() + CLIENT_IDLE_TIMEOUT < now;
-                let reason = if idle { ClientEnd::Idle } else { ClientEnd::Unfinished };
-                self.state.end_idle_client(conn, reason);
-            }
-        }
-        self.state.resume_parked();
-        if now >= self.state.counts_logged_at + COUNTS_LOG_INTERVAL {
-            self.state.counts_logged_at = now;
-            self.state.trace_counts();
-        }
-    }
 }
 
 /// The fill that a response reported by the age of its copy.
--- a/crates/front/src/reducer/admission.rs
+++ b/crates/front/src/reducer/admission.rs
@@ -6,8 +6,8 @@
 
 use doorgrade::Ticks;
 
+use super::client::Client;
 use super::client_ends::HalfCloseState;
-use super::clients::Client;
 use super::{Effect, State, trace};
 use crate::bounds;
 use crate::conn::ConnId;
@@ -140,13 +140,13 @@
     }
 
     /// Ends the connection that has been idle longest. Requests that have begun to arrive are declined only where
-    /// nothing is at rest.
+    /// nothing is at rest, and first those of clients that have never finished one.
     fn evict_client(&mut self) -> Option<()> {
         let evictable = self.clients.iter().filter_map(|(&conn, c)| {
             let eviction = self.eviction(conn, c)?;
-            Some((eviction, c.idle_since(), conn))
+            Some((eviction, eviction == Eviction::Partial && c.has_finished, c.idle_since(), conn))
         });
-        let (eviction, _, conn) = evictable.min()?;
+        let (eviction, _, _, conn) = evictable.min()?;
         match eviction {
             Eviction::Partial => self.decline_partial(conn, ClientEnd::Evicted),
             Eviction::AtRest => self.half_close(conn, ClientEnd::Evicted),
--- a/crates/front/src/reducer/client_ends.rs
+++ b/crates/front/src/reducer/client_ends.rs
@@ -6,7 +6,7 @@
 
 use doorgrade::Ticks;
 
-use super::clients::Client;
+use super::client::Client;
 use super::{Effect, HALF_CLOSE_TIMEOUT, State, Timer, trace};
 use crate::answer::Reply;
 use crate::conn::ConnId;
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -1,90 +1,21 @@
 //! The reducer's part for clients: their requests and the responses to them.
 
 use doorgrade::{Access, AccessId, Ticks};
-use rustc_hash::FxHashMap;
 
-use super::admission::FIRST_BYTE_TIMEOUT;
+use super::client::Client;
 use super::client_ends::HalfCloseState;
 use super::{Effect, OpenAccess, Reducer, State};
-use crate::answer::{Outbox, Reply};
+use crate::answer::Reply;
 use crate::bounds;
 use crate::conn::ConnId;
 use crate::fastcgi;
-use crate::intake::{ClientMessage, Intake, Request};
+use crate::intake::{ClientMessage, Request};
 use crate::reasons::{ClientEnd, IoEnd, Rejection};
 use crate::ring_buffer::RingBuffer;
 
-pub(super) struct Client {
-    pub(super) intake: Intake,
-    /// The capacity of the buffer that the connection's coroutine is writing from, in bytes; none if it is not
-    /// writing.
-    pub(super) writing: Option<usize>,
-    /// When data was last received, and when data was last handed over for writing.
-    pub(super) last_read: Ticks,
-    /// Since when a complete request has been awaited: for the first request, since the connection was
-    /// accepted.
-    pub(super) request_since: Option<Ticks>,
-    pub(super) last_write: Ticks,
-    pub(super) outbox: Outbox,
-    pub(super) accesses: FxHashMap<u16, AccessId>,
-    /// Why the connection is closed once its open requests have been answered, if it is.
-    pub(super) ending: Option<ClientEnd>,
-    /// The progress of its half-close.
-    pub(super) half_close: HalfCloseState,
-    /// It was accepted beyond the bound, and no other connection has made room for it since.
-    pub(super) over_limit: bool,
-}
-
 /// Warnings about clients are logged at most once in this time: 1 s.
 const WARNING_INTERVAL: Ticks = 10_000;
 
-impl Client {
-    pub(super) fn new(now: Ticks) -> Client {
-        Client {
-            intake: Intake::default(),
-            writing: None,
-            last_read: now,
-            request_since: Some(now),
-            last_write: now,
-            outbox: Outbox::default(),
-            accesses: FxHashMap::default(),
-            ending: None,
-            half_close: HalfCloseState::Open,
-            over_limit: false,
-        }
-    }
-
-    /// No request is open and nothing waits to be written: no response is owed. Part of a request may have
-    /// arrived.
-    pub(super) fn is_idle(&self) -> bool {
-        self.accesses.is_empty() && self.outbox.is_empty() && self.writing.is_none()
-    }
-
-    /// No response is owed and no request has begun to arrive: closing the connection loses nothing.
-    pub(super) fn is_at_rest(&self) -> bool {
-        self.is_idle() && !self.intake.has_partial()
-    }
-
-    /// No request is taken from it any more, and none is open.
-    pub(super) fn is_ending(&self) -> bool {
-        self.half_close != HalfCloseState::Open || self.intake.discarding && self.accesses.is_empty()
-    }
-
-    /// It is new, and its first request may be on its way.
-    pub(super) fn expects_first_byte(&self, now: Ticks) -> bool {
-        self.request_since.is_some_and(|since| now < since + FIRST_BYTE_TIMEOUT)
-    }
-
-    /// Bytes that the connection holds of requests not complete yet and of responses.
-    pub(super) fn held_bytes(&self) -> usize {
-        self.outbox.held_bytes + self.intake.held_bytes() + self.writing.unwrap_or(0)
-    }
-
-    pub(super) fn idle_since(&self) -> Ticks {
-        self.last_read.max(self.last_write)
-    }
-}
-
 /// Bytes that an open access holds. The body counts twice: the access holds one copy, and the request to a cache
 /// another.
 fn held_bytes(request: &Request) -> usize {
@@ -113,6 +44,7 @@
             }
         }
         loop {
+            let room = self.state.room_for_partial(conn, buffer.len());
             let Some(client) = self.state.clients.get_mut(&conn) else { return };
             let before = client.intake.held_bytes();
             if client.intake.discarding {
@@ -126,13 +58,13 @@
                 );
                 return self.drop_client(conn, ClientEnd::Flooding);
             }
-            let room = self.state.bounds.bodies.saturating_sub(self.state.body_bytes);
             let message = client.intake.next(&mut buffer, room);
             let after = client.intake.held_bytes();
             self.state.body_bytes = (self.state.body_bytes + after).saturating_sub(before);
             match message {
                 Ok(Some(message)) => {
                     client.request_since = None;
+                    client.has_finished |= matches!(message, ClientMessage::Request(..));
                     self.client_message(conn, message, received_at);
                 }
                 Ok(None) => break,
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -11,7 +11,7 @@
 use rustc_hash::FxHashMap;
 
 use super::admission::{Shortage, Slots};
-use super::clients::Client;
+use super::client::Client;
 use super::hierarchy::Hierarchy;
 use super::sent_push::SentPush;
 use crate::bounds::Bounds;
