Start requests once all data that was read is decoded, without those taken back

Cause: client_read started each request as it was decoded; the abort behind it in the same data came later, by when a connection to a cache was taken or being made. 9,000 a second were closed for another's descriptor, and usual requests spent all their pushes on finding none ("out of pushes" in the log's counts).

Change: requests are collected, aborts strike them out, and the rest is started at the end of the read. A connection with such a request is not at rest (slow_clients.rs found that: it relied on the decoder's state).

The front's suite passes.

--- a/crates/front/src/reducer/client.rs
+++ b/crates/front/src/reducer/client.rs
@@ -57,7 +57,7 @@
 
     /// No response is owed and no request has begun to arrive: closing the connection loses nothing.
     pub(super) fn is_at_rest(&self) -> bool {
-        self.is_idle() && !self.intake.has_partial()
+        self.is_idle() && self.intake.open() == 0 && !self.intake.has_partial()
     }
 
     /// No request is taken from it any more, and none is open.
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -43,6 +43,8 @@
                 client.half_close = HalfCloseState::Open;
             }
         }
+        // Requests are started once all data is read: one that its client takes back right behind it never is.
+        let mut received = Vec::new();
         loop {
             let room = self.state.room_for_partial(conn, buffer.len());
             let Some(client) = self.state.clients.get_mut(&conn) else { return };
@@ -65,7 +67,14 @@
                 Ok(Some(message)) => {
                     client.request_since = None;
                     client.has_finished |= matches!(message, ClientMessage::Request(..));
-                    self.client_message(conn, message, received_at);
+                    match message {
+                        ClientMessage::Request(id, request) => received.push((id, request)),
+                        ClientMessage::Abort(id) if received.iter().any(|(other, _)| *other == id) => {
+                            received.retain(|(other, _)| *other != id);
+                            tracing::debug!(request = id, "a request was taken back before it was started");
+                        }
+                        message => self.client_message(conn, message),
+                    }
                 }
                 Ok(None) => break,
                 Err(fastcgi::InvalidRecord) => {
@@ -80,6 +89,9 @@
                 }
             }
         }
+        for (id, request) in received {
+            self.start_access(conn, id, request, received_at);
+        }
         let Some(client) = self.state.clients.get_mut(&conn) else { return };
         client.last_read = self.state.now;
         if client.request_since.is_none() && (client.intake.has_partial() || !buffer.is_empty()) {
@@ -97,10 +109,13 @@
         self.state.half_close_if_done(conn);
     }
 
-    pub(super) fn client_message(&mut self, conn: ConnId, message: ClientMessage, received_at: Ticks) {
+    pub(super) fn client_message(&mut self, conn: ConnId, message: ClientMessage) {
         let state = &mut self.state;
         match message {
-            ClientMessage::Request(id, request) => self.start_access(conn, id, request, received_at),
+            // `client_read` collects them and starts them itself.
+            ClientMessage::Request(id, request) => {
+                self.start_access(conn, id, request, self.state.now);
+            }
             ClientMessage::HealthCheck(id) => {
                 let status = if state.phase.serving() && !state.draining { 200 } else { 503 };
                 state.reply(conn, id, Reply::empty(status));
