Reject an id that comes again once its request may have run and must not run twice

Cause: start_access rejected an id only while its first access was not done; an access is done when its client leaves, though its attempt is out.

--- a/crates/front/src/reducer.rs
+++ b/crates/front/src/reducer.rs
@@ -13,6 +13,7 @@
 mod sweep;
 mod trace;
 mod types;
+mod used_ids;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -40,6 +41,7 @@
 use hierarchy::Hierarchy;
 pub use types::{ConnectResult, Effect, Input, Most, Served, SettingsInUse};
 use types::{HALF_CLOSE_TIMEOUT, Listener, OpenAccess, SWEEP_INTERVAL, State, Timer};
+use used_ids::UsedIds;
 
 /// The decision module, and the state of the front around it.
 pub struct Reducer {
@@ -80,6 +82,7 @@
                 connect_timeout: platform.connect_timeout,
                 accesses: FxHashMap::default(),
                 access_by_id: FxHashMap::default(),
+                used_ids: UsedIds::new(platform.max_hard_limit),
                 next_access: 0,
                 next_conn: 0,
                 closing: FxHashMap::default(),
--- a/crates/front/src/reducer/clients.rs
+++ b/crates/front/src/reducer/clients.rs
@@ -164,8 +164,11 @@
         }
         // Caches identify accesses by the request's id: a second access with it must not disturb the first.
         let open = state.access_by_id.get(&request.numeric_id).and_then(|first| state.accesses.get(first));
-        if open.is_some_and(|a| !a.done) {
-            state.warn_limited("a request's Req-Id is still in use");
+        let in_use = open.is_some_and(|a| !a.done || a.must_not_run_again());
+        if in_use || state.used_ids.contains(state.now, request.numeric_id) {
+            state.warn_limited(
+                "a request's Req-Id is still in use, or was that of one that must not run again",
+            );
             state.trace_rejection(&request.id, 400, Rejection::Invalid);
             return state.reply(conn, id, Reply::empty(400));
         }
@@ -198,7 +201,9 @@
             deadline,
             has_repeat_id: request.repeat_id.is_some(),
         };
-        let repeatable = self.front.repeat_policy(&requested) != doorgrade::RepeatPolicy::Unrepeatable;
+        let policy = self.front.repeat_policy(&requested);
+        let repeatable = policy != doorgrade::RepeatPolicy::Unrepeatable;
+        let idempotent = policy == doorgrade::RepeatPolicy::Idempotent;
         state.access_by_id.insert(request.numeric_id, access);
         let settings = &state.offerings[offering];
         let transfer_time = settings.transfer_factor * 10_000.0 * request.kb / state.flow_kb_per_s.max(1e-6);
@@ -213,6 +218,7 @@
             request_id: id,
             request,
             repeatable,
+            idempotent,
             done,
             pushes,
             decision_timers,
@@ -350,6 +356,9 @@
             && let Some(open_access) = self.accesses.remove(&access)
         {
             self.body_bytes = self.body_bytes.saturating_sub(held_bytes(&open_access.request));
+            if open_access.must_not_run_again() {
+                self.used_ids.add(self.now, open_access.request.numeric_id);
+            }
             if self.access_by_id.get(&open_access.request.numeric_id) == Some(&access) {
                 self.access_by_id.remove(&open_access.request.numeric_id);
             }
--- a/crates/front/src/reducer/sent_push.rs
+++ b/crates/front/src/reducer/sent_push.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Its cache may have read the request, and nothing proves that it did not run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.started && !self.outcome.is_some_and(Outcome::proves_unrun)
+    }
+
     pub(super) fn may_start(&self, now: Ticks) -> bool {
         now < self.send_deadline && now < self.deadline
     }
--- a/crates/front/src/reducer/types.rs
+++ b/crates/front/src/reducer/types.rs
@@ -14,6 +14,7 @@
 use super::client::Client;
 use super::hierarchy::Hierarchy;
 use super::sent_push::SentPush;
+use super::used_ids::UsedIds;
 use crate::bounds::Bounds;
 use crate::clock::{TimerId, Timers};
 use crate::config::ReloadedConfig;
@@ -132,6 +133,8 @@
     pub(super) request_id: u16,
     pub(super) request: Box<Request>,
     pub(super) repeatable: bool,
+    /// It may run again at any cache.
+    pub(super) idempotent: bool,
     /// The final response was given, or is no longer owed.
     pub(super) done: bool,
     pub(super) pushes: Vec<SentPush>,
@@ -144,6 +147,13 @@
     pub(super) benefit_until: Ticks,
 }
 
+impl OpenAccess {
+    /// Whether it would be run a second time if it were started anew: it may have run, and may not simply run again.
+    pub(super) fn must_not_run_again(&self) -> bool {
+        !self.idempotent && self.pushes.iter().any(SentPush::may_have_run)
+    }
+}
+
 /// Totals for reports to the control service: the benefit requested and the benefit earned within the soft
 /// limit, and counts of accesses.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -213,6 +223,8 @@
     pub(super) accesses: FxHashMap<AccessId, OpenAccess>,
     /// The last access with each id given by a client.
     pub(super) access_by_id: FxHashMap<u64, AccessId>,
+    /// The ids of accesses that have ended, may have run, and may not simply run again.
+    pub(super) used_ids: UsedIds,
     pub(super) next_access: AccessId,
     pub(super) next_conn: ConnId,
     /// Closed connections whose descriptors are not free yet; true for those to caches.
