Test: a write is in flight through a shutdown by the offering's limit, not by its client's 60 s

Its write said that its client waits for 60 s; since that counts as the offering's 2 s, so the write ended at its own limit, before the shutdown's 2.4 s.

In its place, as strict: the same bounds for a write sent 0.7 s after SIGTERM, whose own limit lies beyond them, so that a shutdown that fails to end it is still seen; and the write from before SIGTERM has to end at its own limit.

--- a/crates/cli/tests/clocks.rs
+++ b/crates/cli/tests/clocks.rs
@@ -10,6 +10,8 @@
 use helper::standins::{KEY, wait_for_exit};
 use helper::wait_until;
 
+/// The hard limit of the offerings.
+const LIMIT: Duration = Duration::from_secs(2);
 /// How late a response may be by the acceptance rules, including the 50 ms allowed for sockets.
 const SLACK: Duration = Duration::from_millis(100);
 
@@ -53,7 +55,8 @@
     }
 }
 
-/// After SIGTERM a front accepts requests for 0.9 s and ends those in flight within the longest limit (2 s) and 0.4 s.
+/// After SIGTERM a front accepts requests for 0.9 s and ends those in flight within the longest limit (2 s) and 0.4 s. One
+/// that was in flight before ends at its own limit, also if its client says that it waits for longer.
 #[test]
 fn a_shutdown_takes_its_usual_time_though_the_clock_is_stepped() {
     for ms in CLOCK_STEPS_MS {
@@ -61,8 +64,10 @@
         rig.first_cache.preload(&format!("/data/images/{KEY}/0"), 0);
         rig.second_cache.preload(&format!("/data/images/{KEY}/0"), 0);
         rig.origin.gate().set_closed(true);
-        let mut client = Client::connect(rig.front.address).unwrap();
-        client.send_access(&write(KEY, 60_000)).unwrap();
+        let mut before = Client::connect(rig.front.address).unwrap();
+        let mut late = Client::connect(rig.front.address).unwrap();
+        let sent_at = Instant::now();
+        before.send_access(&write(KEY, 60_000)).unwrap();
         wait_until("the origin has received it", || rig.origin.gate().waiting() == 1);
         rig.front.signal("-TERM");
         let signalled_at = Instant::now();
@@ -72,7 +77,15 @@
         set_clock_offset(&rig.shim, ms);
         std::thread::sleep(Duration::from_millis(600).saturating_sub(signalled_at.elapsed()));
         assert!(rig.read(KEY).starts_with("Status: 200"), "{ms} ms: still accepted");
-        let (head, _) = client.receive().unwrap();
+        // So late that its own limit would end it only after the shutdown.
+        std::thread::sleep(Duration::from_millis(700).saturating_sub(signalled_at.elapsed()));
+        late.send_access(&write(KEY, 60_000)).unwrap();
+        wait_until("the origin has received it", || rig.origin.gate().waiting() == 2);
+        let (head, _) = before.receive().unwrap();
+        let took = sent_at.elapsed();
+        assert!(head.starts_with("Status: 500"), "{ms} ms: {head}");
+        assert!(took > LIMIT - SLACK && took < LIMIT + SLACK, "{ms} ms: ended after {took:?} of {LIMIT:?}");
+        let (head, _) = late.receive().unwrap();
         let took = signalled_at.elapsed();
         assert!(head.starts_with("Status: 500"), "{ms} ms: {head}");
         assert!(
