Test: discovery's address in the descriptor tests is not one that a connection can take

descriptors_that_a_front_inherits_count_against_its_limit failed once in a run of the whole suite ("Address already in use"), as seen before at: the port was let go in the ephemeral range, and an outgoing connection of a test beside it could have it by the time discovery was to be back. It comes from the range below now (ports::free_address). The six tests of the file pass, alone; the bounds are as they were.

--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use doorgrade_standins::ports::free_address;
 use doorgrade_standins::{Client, Feed};
 use helper::standins::{KEY, TIMEOUT, example_config, start_members};
 use helper::{Front, Launch, start, wait_until};
@@ -51,9 +52,8 @@
     // The configured limit, and the process limit (`ulimit -n`).
     for (configured, ulimit) in [(1_024, 64), (64, 64), (64, 1_024)] {
         let (_directory, [one, two, origin], _) = start_members();
-        let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let at = gone.local_addr().unwrap();
-        drop(gone);
+        // Not of the ephemeral range, where an outgoing connection could take it before discovery is back.
+        let at = free_address();
         let sockets = format!("\"sockets\": {configured}");
         let config = example_config(
             [&one.address, &two.address, &origin.address, &at],
